--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,43 @@
+// arrowfork: one router. Reads what it is told, starts, and ends on SIGTERM.
+#include <csignal>
+#include <cstdio>
+
+#include "net/router.hpp"
+
+namespace {
+
+int complain(const std::string& what) {
+  std::fprintf(stderr, "arrowfork: %s\n", what.c_str());
+  return 1;
+}
+
+}  // namespace
+
+int main() {
+  using namespace arrowfork;
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    Config config = load_config();
+    if (!parse_address(config.discovery))
+      return complain("discovery: no address: '" + config.discovery + "'");
+    std::unique_ptr<event_config, void (*)(event_config*)> options(event_config_new(),
+                                                                   event_config_free);
+    event_config_set_flag(options.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+    EventBasePtr base(event_base_new_with_config(options.get()));
+    if (!base) return complain("no event base");
+    Router router(base.get(), config);
+    std::string error;
+    if (!router.listen(error)) return complain("listen " + config.listen + ": " + error);
+    auto on_signal = [](evutil_socket_t, short, void* r) { static_cast<Router*>(r)->stop(); };
+    EventPtr term(evsignal_new(base.get(), SIGTERM, on_signal, &router));
+    EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
+    event_add(term.get(), nullptr);
+    event_add(interrupt.get(), nullptr);
+    std::fprintf(stderr, "arrowfork: %s listens on %s\n", config.name.c_str(),
+                 config.listen.c_str());
+    router.run();
+    return 0;
+  } catch (const ConfigError& e) {
+    return complain(e.what());
+  }
+}
--- /dev/null
+++ b/src/net/client_side.hpp
@@ -0,0 +1,103 @@
+// The listener and the client connections: commands in, answers out in the order of the commands.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "io.hpp"
+#include "memcache.hpp"
+
+namespace arrowfork {
+
+using robinseam::RequestId;
+
+class ClientConnection;
+
+/// The place of one command among the answers of its connection. The connection owns it; it is
+/// gone with the connection (Handler::on_gone) and once it is answered.
+struct ClientSlot {
+  ClientConnection* connection = nullptr;
+  RequestId id = 0;
+  std::string text;        ///< answer bytes that wait for those before them
+  bool done = false;       ///< the whole answer is in `text` or written
+  bool streaming = false;  ///< a large value is under way
+};
+
+class ClientSide {
+ public:
+  /// Told of what clients do. Calls come from within the event loop.
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    /// A request was taken. The handler answers the slot once.
+    virtual void on_command(ClientSlot& slot, Command&& command) = 0;
+    /// The client sends nothing more; whether it still reads can't be told from that.
+    virtual void on_left(RequestId id) = 0;
+    /// The connection is closed and the slot with it.
+    virtual void on_gone(RequestId id) = 0;
+    /// A streamed value may go on.
+    virtual void on_room(RequestId id) = 0;
+  };
+  struct Limits {
+    std::size_t connections = 600;      ///< beyond, commands are refused as busy
+    std::size_t spare_connections = 50; ///< so many beyond are accepted for that
+    std::size_t upload_bytes = 32u << 20;  ///< of large values being written by clients
+  };
+
+  ClientSide(event_base* base, const Clock& clock, Handler& handler, Limits limits);
+  ~ClientSide();
+
+  /// Listens on `address`; false with the reason in `error`.
+  bool listen(const sockaddr_in& address, std::string& error);
+  /// The port that listen() got; for tests that ask for port 0.
+  std::uint16_t port() const;
+
+  /// Gives the whole final answer.
+  void answer(ClientSlot& slot, std::string text);
+  /// A large value: its line, its parts, its end. `cut` ends the connection, so that the client can
+  /// tell that the value is not whole.
+  void stream_begin(ClientSlot& slot, std::string line);
+  void stream_data(ClientSlot& slot, std::string_view data);
+  void stream_end(ClientSlot& slot);
+  void cut(ClientSlot& slot);
+  /// False when the client is slower than the value comes; on_room follows.
+  bool has_room(const ClientSlot& slot) const;
+
+  /// Writes what answer() and the others have left. Call once an iteration of the loop.
+  void flush();
+  /// True when there is something to flush.
+  bool dirty() const { return !dirty_.empty(); }
+  /// Planned end: takes the connections that wait in the backlog, stops listening and closes every
+  /// connection as soon as it is between requests.
+  void drain();
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  friend class ClientConnection;
+  static void on_accept(evutil_socket_t, short, void* self);
+  static void on_sweep(evutil_socket_t, short, void* self);
+  void accept_some(int most);
+  bool close_longest_idle();
+  void sweep();
+  void touch(ClientConnection& connection);
+  void close(ClientConnection& connection);
+
+  event_base* base_;
+  const Clock& clock_;
+  Handler& handler_;
+  Limits limits_;
+  Fd listener_;
+  EventPtr accept_event_, sweep_event_;
+  bool accept_paused_ = false;
+  bool draining_ = false;
+  std::vector<std::unique_ptr<ClientConnection>> connections_;
+  std::vector<std::unique_ptr<ClientConnection>> closed_;  // freed at the end of an iteration
+  std::vector<ClientConnection*> dirty_;
+  std::size_t upload_bytes_ = 0;
+  std::unique_ptr<char[]> scratch_;
+};
+
+}  // namespace arrowfork
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,192 @@
+#include "config.hpp"
+
+#include <cmath>
+#include <cstdlib>
+#include <cstring>
+#include <algorithm>
+#include <cerrno>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace arrowfork {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string scalar_text(const Json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+/// Writes a JSON tree as the wire's path=value pairs: `A.B`, lists of scalars joined by commas,
+/// lists of objects as `.count`, `.0`, `.1` and onward.
+void flatten(const Json& value, const std::string& path, std::map<std::string, std::string>& to) {
+  auto below = [&](const std::string& name) { return path.empty() ? name : path + '.' + name; };
+  if (value.is_object()) {
+    for (const auto& [name, item] : value.items()) flatten(item, below(name), to);
+  } else if (value.is_array() && !value.empty() && value.front().is_object()) {
+    to[below("count")] = std::to_string(value.size());
+    for (std::size_t k = 0; k < value.size(); ++k) flatten(value[k], below(std::to_string(k)), to);
+  } else if (value.is_array()) {
+    std::string joined;
+    for (const Json& item : value) joined += (joined.empty() ? "" : ",") + scalar_text(item);
+    to[path] = joined;
+  } else if (!value.is_null()) {
+    to[path] = scalar_text(value);
+  }
+}
+
+Host host_of(const Json& entry) {
+  if (!entry.is_object()) throw ConfigError("hosts: an entry is no object");
+  auto text = [&](const char* name) {
+    auto it = entry.find(name);
+    return it != entry.end() && it->is_string() ? it->get<std::string>() : std::string();
+  };
+  auto figure = [&](const char* name, double absent) {
+    auto it = entry.find(name);
+    return it != entry.end() && it->is_number() ? it->get<double>() : absent;
+  };
+  Host h;
+  h.server.id = text("host");
+  h.dial = text("dial");
+  h.server.zone = text("site");
+  h.server.kind = text("class");
+  h.server.cell = static_cast<std::int64_t>(std::clamp(figure("block", -1), -1.0, 1e15));
+  std::string health = text("health");
+  if (health == "active")
+    h.server.health = robinseam::Health::Ready;
+  else if (health == "leaving")
+    h.server.health = robinseam::Health::Draining;
+  else if (health == "left")
+    h.server.health = robinseam::Health::Gone;
+  else
+    throw ConfigError("hosts: health '" + health + "'");
+  h.server.weight = figure("share", 1);
+  // Unix time, and the router's clock has its origin there.
+  h.server.up_since = static_cast<robinseam::Micros>(std::clamp(figure("born_ms", 0), 0.0, 1e15)) * 1000;
+  if (h.server.id.empty()) throw ConfigError("hosts: an entry without host");
+  if (h.server.health != robinseam::Health::Gone && h.dial.empty())
+    throw ConfigError("hosts: " + h.server.id + " without dial");
+  return h;
+}
+
+HostList host_list_of(const Json& json) {
+  if (!json.is_object()) throw ConfigError("a host list that is no object");
+  auto seq = json.find("seq"), whole = json.find("whole"), hosts = json.find("hosts");
+  if (seq == json.end() || !(seq->is_number() || seq->is_string()))
+    throw ConfigError("a host list without seq");
+  if (whole == json.end() || !whole->is_boolean()) throw ConfigError("a host list without whole");
+  if (hosts == json.end() || !hosts->is_array()) throw ConfigError("a host list without hosts");
+  HostList list;
+  list.version = scalar_text(*seq);
+  list.whole = whole->get<bool>();
+  for (const Json& entry : *hosts) list.hosts.push_back(host_of(entry));
+  return list;
+}
+
+std::uint64_t seed_of(const Json& value) {
+  if (value.is_number_unsigned()) return value.get<std::uint64_t>();
+  std::string text = scalar_text(value);
+  char* end = nullptr;
+  std::uint64_t seed = std::strtoull(text.c_str(), &end, 16);
+  if (text.empty() || *end) throw ConfigError("seed: '" + text + "' is no hex number");
+  return seed;
+}
+
+const Json& member(const Json& json, const char* name) {
+  auto it = json.find(name);
+  if (it == json.end()) throw ConfigError(std::string(name) + ": missing");
+  return *it;
+}
+
+std::string text_of(const Json& json, const char* name) {
+  auto it = json.find(name);
+  if (it == json.end()) return {};
+  if (!it->is_string()) throw ConfigError(std::string(name) + ": no text");
+  return it->get<std::string>();
+}
+
+Config config_of(const Json& json) {
+  if (!json.is_object()) throw ConfigError("NODE_CONFIG: the file holds no JSON object");
+  Config c;
+  c.name = text_of(json, "name");
+  c.listen = text_of(json, "listen");
+  c.discovery = text_of(json, "discovery");
+  if (json.contains("seed")) c.seed = seed_of(json["seed"]);
+  double memory_mb = 192, sockets = 1024;
+  if (auto limits = json.find("limits"); limits != json.end()) {
+    if (!limits->is_object()) throw ConfigError("limits: no object");
+    auto figure = [&](const char* name, double& value) {
+      auto it = limits->find(name);
+      if (it == limits->end()) return;
+      if (!it->is_number() || !(it->get<double>() > 0))
+        throw ConfigError("limits." + std::string(name) + ": no number above 0");
+      value = it->get<double>();
+    };
+    figure("memory_mb", memory_mb);
+    figure("sockets", sockets);
+  }
+  if (sockets < 64) throw ConfigError("limits.sockets: under 64");
+  c.memory_bytes = static_cast<std::size_t>(std::min(memory_mb, 1e6) * 1048576);
+  c.sockets = static_cast<std::size_t>(std::min(sockets, 1e6));
+  if (auto known = json.find("known"); known != json.end() && !known->is_null()) {
+    try {
+      c.known = host_list_of(*known);
+    } catch (const ConfigError& e) {
+      throw ConfigError(std::string("known: ") + e.what());
+    }
+  }
+  std::map<std::string, std::string> pairs;
+  const Json& settings = member(json, "settings");
+  if (!settings.is_object()) throw ConfigError("settings: no object");
+  flatten(settings, "", pairs);
+  try {
+    robinseam::drill::SettingPairs by_path(pairs.begin(), pairs.end());
+    c.settings = robinseam::drill::settings_of(by_path);
+    c.links = robinseam::drill::link_settings_of(by_path);
+  } catch (const std::runtime_error& e) {
+    throw ConfigError(std::string("settings: ") + e.what());
+  }
+  return c;
+}
+
+}  // namespace
+
+HostList parse_host_list(const std::string& json) {
+  try {
+    return host_list_of(Json::parse(json));
+  } catch (const Json::exception& e) {
+    throw ConfigError(e.what());
+  }
+}
+
+Config parse_config(const std::string& json) {
+  try {
+    return config_of(Json::parse(json));
+  } catch (const Json::exception& e) {
+    throw ConfigError(std::string("NODE_CONFIG: ") + e.what());
+  }
+}
+
+Config load_config() {
+  const char* path = std::getenv("NODE_CONFIG");
+  if (!path || !*path) throw ConfigError("NODE_CONFIG: not set");
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream text;
+  if (!file || !(text << file.rdbuf()))
+    throw ConfigError(std::string("NODE_CONFIG: cannot read ") + path + ": " +
+                      std::strerror(errno));
+  Config c = parse_config(text.str());
+  auto override_with = [](const char* variable, std::string& value) {
+    const char* set = std::getenv(variable);
+    if (set && *set) value = set;
+  };
+  override_with("NODE_NAME", c.name);
+  override_with("NODE_LISTEN", c.listen);
+  override_with("NODE_DISCOVERY", c.discovery);
+  if (c.listen.empty()) throw ConfigError("listen: missing");
+  if (c.discovery.empty()) throw ConfigError("discovery: missing");
+  return c;
+}
+
+}  // namespace arrowfork
--- /dev/null
+++ b/src/net/config.hpp
@@ -0,0 +1,48 @@
+// What the router is told at its start: environment and configuration file.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "../drill/settings.hpp"
+
+namespace arrowfork {
+
+/// A configuration that can't be used; what() names the setting.
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+/// One cache server as discovery lists it.
+struct Host {
+  robinseam::Server server;
+  std::string dial;
+};
+
+struct HostList {
+  std::string version;
+  bool whole = false;
+  std::vector<Host> hosts;
+};
+
+/// Reads discovery's JSON. Throws ConfigError on anything that is not a list.
+HostList parse_host_list(const std::string& json);
+
+struct Config {
+  std::string name, listen, discovery;
+  std::uint64_t seed = 0;
+  std::size_t memory_bytes = 0;
+  std::size_t sockets = 0;
+  HostList known;
+  robinseam::Settings settings;
+  robinseam::drill::LinkSettings links;
+};
+
+/// Reads the file that NODE_CONFIG names; the other NODE_ variables, where set, come before it.
+/// Throws ConfigError.
+Config load_config();
+/// The same from the file's text alone.
+Config parse_config(const std::string& json);
+
+}  // namespace arrowfork
--- /dev/null
+++ b/src/net/router.cpp
@@ -0,0 +1,449 @@
+#include "router.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arrowfork {
+namespace {
+
+using robinseam::Actions;
+using robinseam::ListScope;
+
+// What servers are presumed to hold at least; all routers together stay within it.
+constexpr std::size_t kServerHolds = 60;
+constexpr std::size_t kMostPerServer = 8;
+// Descriptors for the listener, the event base, discovery and the log.
+constexpr std::size_t kReservedSockets = 24;
+constexpr std::size_t kSpareClients = 50;
+constexpr std::size_t kOpenMost = 20'000;  // bounds the memory of the table of open requests
+// After SIGTERM the front still sends new connections for up to 0.4 s, and what comes later than
+// 0.7 s is ours to lose no more: in between the router stops listening.
+constexpr Micros kStopListening = kSecond / 2;
+constexpr Micros kStopStep = 20 * kMillisecond;
+constexpr Micros kStopSlack = 650 * kMillisecond;
+// A request that the module has left open this long after its time gets its answer all the same.
+constexpr Micros kLastAnswer = 15 * kMillisecond;
+
+const char* const kFailed = "SERVER_ERROR failed\r\n";
+
+std::size_t server_sockets(const Config& c) { return (c.sockets - kReservedSockets) / 3; }
+
+ClientSide::Limits client_limits(const Config& c) {
+  ClientSide::Limits l;
+  l.spare_connections = std::min(kSpareClients, c.sockets / 16);
+  l.connections = c.sockets - kReservedSockets - server_sockets(c) - l.spare_connections;
+  l.upload_bytes = std::max<std::size_t>(c.memory_bytes / 4, kMaxValue + 2);
+  return l;
+}
+
+ServerSide::Limits server_limits(const Config& c) {
+  ServerSide::Limits l;
+  l.connections = server_sockets(c);
+  l.per_server = std::clamp<std::size_t>(
+      kServerHolds / static_cast<std::size_t>(c.settings.routers), 1, kMostPerServer);
+  l.streams = c.links.streams;
+  l.keepalive = c.links.keepalive;
+  l.dial_timeout = c.links.dial_timeout;
+  return l;
+}
+
+robinseam::Balancer make_balancer(const Config& c, Micros now) {
+  try {
+    return robinseam::Balancer(c.settings, c.seed, now);
+  } catch (const std::invalid_argument& e) {
+    throw ConfigError(std::string("settings: ") + e.what());
+  }
+}
+
+Micros longest_deadline(const Config& c) {
+  Micros longest = 0;
+  for (const auto& one : c.settings.classes) longest = std::max(longest, one.deadline);
+  return longest;
+}
+
+std::vector<robinseam::Server> servers_of(const HostList& list) {
+  std::vector<robinseam::Server> servers;
+  servers.reserve(list.hosts.size());
+  for (const Host& host : list.hosts) servers.push_back(host.server);
+  return servers;
+}
+
+}  // namespace
+
+Router::Router(event_base* base, const Config& config)
+    : base_(base),
+      config_(config),
+      balancer_(make_balancer(config, clock_.now())),
+      max_open_(std::min<std::size_t>(kOpenMost, static_cast<std::size_t>(config.links.max_open))),
+      clients_(base, clock_, *this, client_limits(config)),
+      servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields),
+      discovery_(base, config.discovery, config.known.version, !config.settings.must_ask, *this) {
+  timer_event_.reset(event_new(base, -1, 0, on_timer, this));
+  stop_event_.reset(event_new(base, -1, 0, on_stop_step, this));
+  servers_.take_list(config_.known);
+  perform(balancer_.start(clock_.now()));
+  events_.push_back(ListEvent{ListScope::Cached, servers_of(config_.known)});
+}
+
+bool Router::listen(std::string& error) {
+  auto address = parse_address(config_.listen);
+  if (!address) {
+    error = "no address: '" + config_.listen + "'";
+    return false;
+  }
+  return clients_.listen(*address, error);
+}
+
+void Router::run() {
+  while (!done_) {
+    do {
+      ring();
+      settle();
+      // Requests go on before answers go back: they have the longer way.
+      servers_.flush();
+      clients_.flush();
+    } while (!events_.empty() || servers_.dirty() || clients_.dirty());
+    arm();
+    event_base_loop(base_, EVLOOP_ONCE);
+  }
+}
+
+void Router::stop() {
+  if (stopping_since_) return;
+  stopping_since_ = clock_.now();
+  timeval wait = timeval_of(kStopListening);
+  event_add(stop_event_.get(), &wait);
+}
+
+void Router::on_stop_step(evutil_socket_t, short, void* self) {
+  auto* r = static_cast<Router*>(self);
+  r->clients_.drain();
+  Micros waited = r->clock_.now() - r->stopping_since_;
+  if ((r->open_.empty() && r->clients_.connections() == 0) ||
+      waited > longest_deadline(r->config_) + kStopSlack) {
+    r->done_ = true;
+    return;
+  }
+  timeval wait = timeval_of(kStopStep);
+  event_add(r->stop_event_.get(), &wait);
+}
+
+// ---- clients ----
+
+void Router::on_command(ClientSlot& slot, Command&& command) {
+  if (open_.size() >= max_open_) {  // before the module has seen it
+    clients_.answer(slot, "SERVER_ERROR busy\r\n");
+    return;
+  }
+  RequestId id = next_id_++;
+  slot.id = id;
+  Open& open = open_[id];
+  open.slot = &slot;
+  Micros wait = static_cast<Micros>(command.wait_ms * 1000);
+  if (command.wait_ms < 0) {
+    wait = config_.settings.classes.front().deadline;
+    for (const auto& c : config_.settings.classes)
+      if (c.name == command.type) wait = c.deadline;
+  }
+  open.deadline = clock_.now() + wait;
+  open.command = std::move(command);
+  events_.push_back(RequestEvent{id});
+}
+
+/// A client that sends no more may still read. The module is told that it has left, so that nothing
+/// new is sent for it, but what is out is waited for and its answer given.
+void Router::on_left(RequestId id) {
+  auto it = open_.find(id);
+  if (it == open_.end() || it->second.left) return;
+  it->second.left = true;
+  events_.push_back(GoneEvent{id});
+}
+
+void Router::on_gone(RequestId id) {
+  auto it = open_.find(id);
+  if (it == open_.end()) return;
+  Open& open = it->second;
+  open.slot = nullptr;
+  if (open.streaming) servers_.resume(open.source, id);  // the rest is read and dropped
+  open.answered = true;
+  if (!open.left) events_.push_back(GoneEvent{id});
+}
+
+void Router::on_room(RequestId id) {
+  auto it = open_.find(id);
+  if (it != open_.end() && it->second.streaming) servers_.resume(it->second.source, id);
+}
+
+// ---- cache servers ----
+
+void Router::on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) {
+  auto it = open_.find(id);
+  if (it == open_.end()) return;
+  Open& open = it->second;
+  Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
+  a.on_wire = false;
+  if (status == Status::Miss && !config_.settings.aside) status = Status::Error;
+  if (status == Status::Ok && !open.answered) {
+    std::string text;
+    if (answer.kind == Answer::Kind::Value) {
+      text = "VA " + std::to_string(answer.length) + " O" + open.command.id + "\r\n";
+      text += answer.value;
+    } else {
+      text = "HD O" + open.command.id;
+      if (!answer.receipt.empty()) text += " c" + answer.receipt;
+      text += "\r\n";
+    }
+    give_answer(open, std::move(text));
+  }
+  if (a.out) tell_outcome(id, open, attempt, status, &answer);
+  if (open.left && !open.answered &&
+      std::none_of(open.attempts.begin(), open.attempts.end(),
+                   [](const Attempt& one) { return one.on_wire; }))
+    give_answer(open, kFailed);
+  forget_if_done(id);
+}
+
+bool Router::on_value_begin(RequestId id, int attempt, Answer&& head) {
+  auto it = open_.find(id);
+  if (it == open_.end()) return false;
+  Open& open = it->second;
+  Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
+  a.on_wire = false;
+  bool wanted = !open.answered && open.slot;
+  if (wanted) {
+    clients_.stream_begin(*open.slot, "VA " + std::to_string(head.length) + " O" +
+                                          open.command.id + "\r\n");
+    open.answered = open.streaming = true;
+    open.source = a.server;
+  }
+  if (a.out) tell_outcome(id, open, attempt, Status::Ok, &head);
+  forget_if_done(id);
+  return wanted;
+}
+
+bool Router::on_value_data(RequestId id, std::string_view data) {
+  auto it = open_.find(id);
+  if (it == open_.end() || !it->second.slot) return true;
+  clients_.stream_data(*it->second.slot, data);
+  return clients_.has_room(*it->second.slot);
+}
+
+void Router::on_value_end(RequestId id, bool whole) {
+  auto it = open_.find(id);
+  if (it == open_.end()) return;
+  Open& open = it->second;
+  open.streaming = false;
+  if (ClientSlot* slot = std::exchange(open.slot, nullptr)) {
+    if (whole)
+      clients_.stream_end(*slot);
+    else
+      clients_.cut(*slot);
+  }
+  forget_if_done(id);
+}
+
+// ---- discovery ----
+
+void Router::on_hosts(HostList&& list) {
+  servers_.take_list(list);
+  events_.push_back(
+      ListEvent{list.whole ? ListScope::Full : ListScope::Delta, servers_of(list)});
+}
+
+void Router::on_hosts_failed() { events_.push_back(ListEvent{ListScope::Failed, {}}); }
+
+// ---- timers ----
+
+void Router::on_timer(evutil_socket_t, short, void* self) {
+  static_cast<Router*>(self)->armed_at_ = 0;  // run() rings what is due
+}
+
+void Router::set_timer(Micros at, Due due, std::uint64_t token, int attempt) {
+  timers_.push({at, timer_order_++, due, token, attempt});
+}
+
+void Router::arm() {
+  if (timers_.empty() || (armed_at_ && armed_at_ <= timers_.top().at)) return;
+  armed_at_ = timers_.top().at;
+  timeval wait = timeval_of(std::max<Micros>(armed_at_ - clock_.now(), 0));
+  event_add(timer_event_.get(), &wait);
+}
+
+void Router::ring() {
+  Micros now = clock_.now();
+  while (!timers_.empty() && timers_.top().at <= now) {
+    Timer t = timers_.top();
+    timers_.pop();
+    if (t.due == Due::Module)
+      events_.push_back(TimerEvent{t.token});
+    else
+      expire(t.token, t.attempt);
+  }
+}
+
+/// The attempt's patience, or with attempt -1 the client's, is over. An attempt of -2 is the last
+/// guard: whatever happened, the client gets its answer.
+void Router::expire(RequestId id, int attempt) {
+  auto it = open_.find(id);
+  if (it == open_.end()) return;
+  Open& open = it->second;
+  if (attempt == -2) {
+    if (!open.answered) give_answer(open, kFailed);
+    forget_if_done(id);
+    return;
+  }
+  for (std::size_t k = 0; k < open.attempts.size(); ++k) {
+    Attempt& a = open.attempts[k];
+    if (!a.out || (attempt >= 0 && static_cast<int>(k) != attempt)) continue;
+    Status status = servers_.cancel(a.server, id, static_cast<int>(k));
+    a.on_wire = false;
+    tell_outcome(id, open, static_cast<int>(k),
+                 status == Status::Moot ? Status::ConnectFailed : Status::Timeout, nullptr);
+  }
+  if (attempt == -1 && !open.answered)
+    set_timer(clock_.now() + kLastAnswer, Due::Expiry, id, -2);
+}
+
+// ---- the module ----
+
+void Router::tell_outcome(RequestId id, Open& open, int attempt, Status status, Answer* answer) {
+  Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
+  a.out = false;
+  OutcomeEvent e;
+  e.outcome.id = id;
+  e.outcome.server = a.server;
+  e.outcome.status = status;
+  e.outcome.latency = clock_.now() - a.sent;
+  e.outcome.attempt = attempt;
+  if (answer) {
+    e.outcome.note = answer->note;
+    e.outcome.report = std::move(answer->report);
+  }
+  ++open.untold;
+  events_.push_back(std::move(e));
+}
+
+void Router::settle() {
+  while (!events_.empty()) {
+    Event event = std::move(events_.front());
+    events_.pop_front();
+    Micros now = clock_.now();
+    if (auto* e = std::get_if<OutcomeEvent>(&event)) {
+      auto it = open_.find(e->outcome.id);
+      e->outcome.finished = it == open_.end() || it->second.answered;
+      if (it != open_.end()) --it->second.untold;
+      perform(balancer_.on_outcome(now, e->outcome));
+      forget_if_done(e->outcome.id);
+    } else if (auto* e = std::get_if<RequestEvent>(&event)) {
+      auto it = open_.find(e->id);
+      if (it == open_.end()) continue;
+      const Open& open = it->second;
+      if (open.answered) {  // gone before the module heard of it
+        open_.erase(it);
+        continue;
+      }
+      robinseam::Request r;
+      r.id = e->id;
+      r.type = open.command.type;
+      r.tenant = open.command.tenant;
+      r.key = open.command.key;
+      r.remaining = std::max<Micros>(0, open.deadline - now);
+      r.work = open.command.work;
+      r.repeat = open.command.repeat;
+      r.write = open.command.set;
+      set_timer(open.deadline, Due::Expiry, e->id, -1);
+      perform(balancer_.on_request(now, r));
+    } else if (auto* e = std::get_if<GoneEvent>(&event)) {
+      perform(balancer_.on_gone(now, e->id));
+      forget_if_done(e->id);
+    } else if (auto* e = std::get_if<ListEvent>(&event)) {
+      perform(balancer_.on_list(now, e->scope, e->servers));
+    } else if (auto* e = std::get_if<TimerEvent>(&event)) {
+      perform(balancer_.on_timer(now, e->token));
+    }
+  }
+}
+
+void Router::perform(const Actions& actions) {
+  for (const robinseam::Action& action : actions)
+    std::visit([this](const auto& a) { act(a); }, action);
+}
+
+void Router::act(const robinseam::Send& a) {
+  auto it = open_.find(a.id);
+  if (it == open_.end()) return;
+  Open& open = it->second;
+  int attempt = static_cast<int>(open.attempts.size());
+  Micros now = clock_.now();
+  open.attempts.push_back({a.server, now});
+  // An answer may have come while the module did not know of it yet.
+  if (open.answered || open.left || now >= open.deadline) {
+    open.attempts.back().on_wire = false;
+    tell_outcome(a.id, open, attempt, Status::Moot, nullptr);
+    return;
+  }
+  Micros wait = open.deadline - now;
+  if (a.patience > 0 && a.patience < wait) {
+    wait = a.patience;
+    set_timer(now + wait, Due::Expiry, a.id, attempt);
+  }
+  servers_.send(a.server, a.id, attempt, open.command, (wait + kMillisecond - 1) / kMillisecond);
+}
+
+void Router::act(const robinseam::Refuse& a) {
+  auto it = open_.find(a.id);
+  if (it == open_.end() || it->second.answered) return;
+  std::string text = "SERVER_ERROR busy";
+  if (a.wait > 0) text += ' ' + std::to_string((a.wait + kMillisecond - 1) / kMillisecond);
+  give_answer(it->second, text + "\r\n");
+  forget_if_done(a.id);
+}
+
+void Router::act(const robinseam::Fail& a) {
+  auto it = open_.find(a.id);
+  if (it == open_.end() || it->second.answered) return;
+  give_answer(it->second, kFailed);
+  forget_if_done(a.id);
+}
+
+void Router::act(const robinseam::Cancel& a) {
+  auto it = open_.find(a.id);
+  if (it == open_.end() || a.attempt < 0 ||
+      a.attempt >= static_cast<int>(it->second.attempts.size()))
+    return;
+  Open& open = it->second;
+  Attempt& one = open.attempts[static_cast<std::size_t>(a.attempt)];
+  if (!one.out) return;
+  Status status = Status::Cancelled;
+  // For a client that has left but may still read, what is out goes on.
+  if (!open.left || open.answered) {
+    status = servers_.cancel(one.server, a.id, a.attempt);
+    one.on_wire = false;
+  }
+  tell_outcome(a.id, open, a.attempt, status, nullptr);
+}
+
+void Router::act(const robinseam::Timer& a) {
+  set_timer(clock_.now() + a.after, Due::Module, a.token);
+}
+
+void Router::act(const robinseam::Probe&) {
+  // The module probes nothing; no site it was made for allows it.
+}
+
+void Router::give_answer(Open& open, std::string text) {
+  open.answered = true;
+  if (ClientSlot* slot = std::exchange(open.slot, nullptr)) clients_.answer(*slot, std::move(text));
+}
+
+void Router::forget_if_done(RequestId id) {
+  auto it = open_.find(id);
+  if (it == open_.end()) return;
+  const Open& open = it->second;
+  if (!open.answered || open.streaming || open.untold > 0) return;
+  for (const Attempt& a : open.attempts)
+    if (a.out) return;
+  open_.erase(it);
+}
+
+}  // namespace arrowfork
--- /dev/null
+++ b/src/net/server_side.hpp
@@ -0,0 +1,91 @@
+// The connections to cache servers: dial, pool, pipeline, idle close, and each attempt's fate.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "config.hpp"
+#include "io.hpp"
+#include "memcache.hpp"
+
+namespace arrowfork {
+
+using robinseam::RequestId;
+using robinseam::Status;
+
+class ServerConnection;
+struct ServerPool;
+
+class ServerSide {
+ public:
+  /// Told of what becomes of attempts. Calls come from within the event loop, and from send() and
+  /// cancel(); none may call back into ServerSide.
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    /// The attempt has ended; `answer` is what came, where `status` tells of one. Called once for
+    /// each attempt, unless it was cancelled or its value was streamed.
+    virtual void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) = 0;
+    /// A large value begins. False: it is not wanted and will be dropped as it comes.
+    virtual bool on_value_begin(RequestId id, int attempt, Answer&& head) = 0;
+    /// Only after on_value_begin returned true. on_value_data returns false to be given no more
+    /// until resume().
+    virtual bool on_value_data(RequestId id, std::string_view data) = 0;
+    virtual void on_value_end(RequestId id, bool whole) = 0;
+  };
+  struct Limits {
+    std::size_t connections = 300;  ///< to all servers
+    std::size_t per_server = 8;
+    int streams = 32;  ///< attempts on one connection
+    Micros keepalive = 15 * kSecond;
+    Micros dial_timeout = 75 * kMillisecond;
+  };
+
+  ServerSide(event_base* base, const Clock& clock, Handler& handler, Limits limits,
+             const std::vector<robinseam::ReportField>* fields);
+  ~ServerSide();
+
+  /// Takes over what a list says of where servers are and whether they want anything new.
+  void take_list(const HostList& list);
+
+  /// Sends one attempt. The handler may be told of its end before this returns.
+  void send(const std::string& server, RequestId id, int attempt, const Command& command,
+            std::int64_t wait_ms);
+  /// Gives an attempt up: Moot where nothing of it was sent whole, Cancelled where it may have run.
+  Status cancel(const std::string& server, RequestId id, int attempt);
+  /// A streamed value may go on.
+  void resume(const std::string& server, RequestId id);
+
+  void flush();
+  bool dirty() const { return !dirty_.empty(); }
+  std::size_t connections() const { return total_; }
+
+ private:
+  friend class ServerConnection;
+  static void on_sweep(evutil_socket_t, short, void* self);
+  void sweep();
+  ServerConnection* pick(ServerPool& pool, bool large);
+  ServerConnection* dial(ServerPool& pool);
+  void touch(ServerConnection& connection);
+  /// Ends the connection; every attempt on it gets its outcome.
+  void close(ServerConnection& connection);
+  void failed_dial(ServerConnection& connection);
+
+  event_base* base_;
+  const Clock& clock_;
+  Handler& handler_;
+  Limits limits_;
+  const std::vector<robinseam::ReportField>* fields_;
+  EventPtr sweep_event_;
+  std::unordered_map<std::string, std::unique_ptr<ServerPool>> pools_;
+  std::size_t total_ = 0;
+  std::vector<std::unique_ptr<ServerConnection>> closed_;
+  std::vector<ServerConnection*> dirty_;
+  std::unique_ptr<char[]> scratch_;
+};
+
+}  // namespace arrowfork
--- /dev/null
+++ b/tests/support.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "robinseam/balancer.hpp"
+
+namespace robinseam::test {
+
+constexpr Micros kMs = 1000;
+constexpr Micros kS = 1'000'000;
+
+inline Settings basic_settings() {
+  Settings s;
+  ClassSettings read;
+  read.name = "read";
+  read.aim = 150 * kMs;
+  read.deadline = 600 * kMs;
+  s.classes.push_back(read);
+  s.zone = "a";
+  s.zones = {"a"};
+  s.max_attempts = 4;
+  s.may_cancel = true;
+  s.second_copies = true;
+  s.tick = 1 * kMs;
+  s.drain_grace = 500 * kMs;
+  s.cold_share = 0.3;
+  s.cold_time = 8 * kS;
+  s.ask_within = 10 * kS;
+  return s;
+}
+
+inline Settings aside_settings() {
+  Settings s = basic_settings();
+  s.aside = true;
+  s.origin_kind = "ledger";
+  return s;
+}
+
+inline std::vector<Server> fleet(int count, double weight = 1) {
+  std::vector<Server> list;
+  for (int k = 0; k < count; ++k) {
+    Server s;
+    s.id = "10.0.0." + std::to_string(k) + ":80";
+    s.zone = "a";
+    s.kind = "std";
+    s.weight = weight;
+    list.push_back(s);
+  }
+  return list;
+}
+
+inline Request read_of(RequestId id, const std::string& key, Micros remaining = 500 * kMs) {
+  Request r;
+  r.id = id;
+  r.type = "read";
+  r.key = key;
+  r.remaining = remaining;
+  return r;
+}
+
+template <typename T>
+std::vector<T> all(const Actions& actions) {
+  std::vector<T> found;
+  for (const Action& a : actions)
+    if (const T* one = std::get_if<T>(&a)) found.push_back(*one);
+  return found;
+}
+
+/// The server a request was sent to, or "".
+inline std::string sent_to(const Actions& actions) {
+  auto sends = all<Send>(actions);
+  return sends.empty() ? "" : sends.front().server;
+}
+
+inline Outcome ended(RequestId id, const std::string& server, Status status, int attempt = 0,
+                     Micros latency = 20 * kMs) {
+  Outcome o;
+  o.id = id;
+  o.server = server;
+  o.status = status;
+  o.attempt = attempt;
+  o.latency = latency;
+  o.finished = status == Status::Ok;
+  return o;
+}
+
+/// Sends one request and answers it at once with `status`; returns the server, or "" when refused.
+inline std::string serve(Balancer& b, Micros now, RequestId id, const std::string& key,
+                         Status status = Status::Ok) {
+  std::string server = sent_to(b.on_request(now, read_of(id, key)));
+  if (!server.empty()) b.on_outcome(now, ended(id, server, status));
+  return server;
+}
+
+/// Sends one request and answers each attempt, further ones too, with `status`; how many there
+/// were.
+inline int exhaust(Balancer& b, Micros now, RequestId id, const std::string& key, Status status) {
+  int attempts = 0;
+  std::string server = sent_to(b.on_request(now, read_of(id, key)));
+  for (; !server.empty(); ++attempts)
+    server = sent_to(b.on_outcome(now, ended(id, server, status, attempts)));
+  return attempts;
+}
+
+}  // namespace robinseam::test
