--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
-// arrowfork: one router. Reads what it is told, starts, and ends on SIGTERM.
+// arrowfork: one router. Reads what it is told, starts, and ends on SIGTERM. SIGHUP makes it
+// read its configuration again.
 #include <csignal>
 #include <cstdio>
 
@@ -16,6 +17,7 @@
 int main() {
   using namespace arrowfork;
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
   try {
     Config config = load_config();
     if (!parse_address(config.discovery))
@@ -30,6 +32,16 @@
     if (!router.listen(error)) return complain("listen " + config.listen + ": " + error);
     auto on_signal = [](evutil_socket_t, short, void* r) { static_cast<Router*>(r)->stop(); };
     EventPtr term(evsignal_new(base.get(), SIGTERM, on_signal, &router));
+    // A reload never ends the router: what goes wrong in it is logged, and all goes on as before.
+    auto on_reload = [](evutil_socket_t, short, void* r) {
+      try {
+        static_cast<Router*>(r)->reload(reload_config());
+      } catch (const std::exception& e) {
+        complain(std::string("reload: ") + e.what() + "; the old configuration is kept");
+      }
+    };
+    EventPtr hang_up(evsignal_new(base.get(), SIGHUP, on_reload, &router));
+    event_add(hang_up.get(), nullptr);
     EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
     event_add(term.get(), nullptr);
     event_add(interrupt.get(), nullptr);
@@ -37,7 +49,7 @@
                  config.listen.c_str());
     router.run();
     return 0;
-  } catch (const ConfigError& e) {
+  } catch (const std::exception& e) {
     return complain(e.what());
   }
 }
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -9,31 +9,43 @@
 namespace arrowfork {
 namespace {
 
-constexpr std::size_t kScratch = 64u << 10;
+// Read at once from one connection, so that a client that sends at full speed has no larger part of
+// the loop than others.
+constexpr std::size_t kScratch = 16u << 10;
 // Unanswered commands of one connection; beyond, it is not read.
-constexpr std::size_t kPipelineMax = 64;
-// Answer bytes that may wait for a slow reader before a stream is held, and from which it goes on.
-constexpr std::size_t kOutHigh = 128u << 10, kOutLow = 32u << 10;
-// A command must come within this of its first byte; PROTOCOL gives clients 2 s.
-constexpr Micros kCommandTime = 10 * kSecond;
+constexpr std::size_t kPipelineMax = 32;
+// Answer bytes that may wait for a slow reader before its commands are read no more.
+constexpr std::size_t kOutHigh = 128u << 10, kOutLow = 16u << 10;
+// A command must come within this of its first byte, and the first one within this of the accept.
+// DAYS owes an error or a close within 3 s of connecting.
+constexpr Micros kCommandTime = 2 * kSecond;
+// A connection with no request open is closed after this; DAYS allows 2 s. Kept longer they pile
+// up: some clients ask once and never close.
+constexpr Micros kIdleTime = 5 * kSecond / 2;
 // A client that takes none of its answer for this long is given up.
-constexpr Micros kStallTime = 10 * kSecond;
-// After our FIN the connection is read until the client's, at most this long: closing with unread
-// bytes would send a reset, which may destroy the last answer on its way.
-constexpr Micros kLingerTime = kSecond;
+constexpr Micros kStallTime = 3 * kSecond;
+// After our FIN the connection is read until the client's, at most this long and this many bytes:
+// closing with unread bytes sends a reset, which may destroy the last answer on its way.
+constexpr Micros kLingerTime = kSecond / 2;
+constexpr std::size_t kLingerBytes = 256u << 10;
 constexpr Micros kSweep = kSecond / 4;
+// Accepted in one go, so that those that are open are served in between.
+constexpr int kAcceptMost = 16;
 
 }  // namespace
 
 class ClientConnection {
  public:
   ClientConnection(ClientSide& side, Fd fd, bool over_limit)
-      : side_(side), fd_(std::move(fd)), over_limit_(over_limit), since_(side.clock_.now()) {
+      : side_(side),
+        fd_(std::move(fd)),
+        over_limit_(over_limit),
+        since_(side.clock_.now()),
+        used_at_(since_) {
     read_.reset(event_new(side.base_, fd_.get(), EV_READ | EV_PERSIST, on_event, this));
     write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
     event_add(read_.get(), nullptr);
   }
-  ~ClientConnection() { side_.upload_bytes_ -= upload_; }
 
   static void on_event(evutil_socket_t, short what, void* self) {
     auto* c = static_cast<ClientConnection*>(self);
@@ -42,7 +54,8 @@
     if (what & EV_READ) c->read();
   }
 
-  bool idle() const { return slots_.empty() && out_.empty() && !in_command(); }
+  /// No request is open and no answer is on its way: closing it loses nothing.
+  bool vacant() const { return slots_.empty() && out_.empty(); }
   bool in_command() const { return reader_.in_command() || !held_.empty(); }
 
   void read() {
@@ -53,7 +66,8 @@
       return;
     }
     if (lingering_) {
-      if (got == 0) side_.close(*this);
+      lingered_ += static_cast<std::size_t>(got);
+      if (got == 0 || lingered_ > kLingerBytes) side_.close(*this);
       return;
     }
     if (got == 0) {
@@ -69,81 +83,64 @@
       held_.append(in);
       parse_held();
     }
+    if (closed_) return;
+    account();
     update_reading();
   }
 
-  /// Handles the commands in `in` and consumes them, until the pipeline is full or an upload has to
-  /// wait.
+  bool full() const { return slots_.size() >= kPipelineMax || waiting() >= kOutHigh; }
+
+  /// Handles the commands in `in` and consumes them, until the pipeline is full.
   void parse(std::string_view& in) {
-    while (!broken_ && !closed_ && slots_.size() < kPipelineMax && (!in.empty()) &&
-           out_.size() < kOutHigh) {
-      if (!admit_upload()) return;
+    while (!broken_ && !closed_ && !in.empty() && !full()) {
       Command command;
       auto got = reader_.take(in, command);
-      if (reader_.value_missing() == 0) release_upload();
+      if (got == CommandReader::Got::Nothing) break;
+      since_ = side_.clock_.now();
       switch (got) {
-        case CommandReader::Got::Nothing:
-          if (!admit_upload()) return;
-          break;
-        case CommandReader::Got::Command: {
-          ClientSlot& slot = add_slot();
+        case CommandReader::Got::Command:
+          speak();
           if (over_limit_)
-            side_.answer(slot, "SERVER_ERROR busy\r\n");
+            side_.answer(add_slot(), "SERVER_ERROR busy\r\n");
           else
-            side_.handler_.on_command(slot, std::move(command));
+            side_.handler_.on_command(add_slot(), std::move(command));
           break;
-        }
         case CommandReader::Got::Noop:
+          speak();
           side_.answer(add_slot(), "MN\r\n");
           break;
         case CommandReader::Got::Unknown:
-          side_.answer(add_slot(), "ERROR\r\n");
-          break;
-        case CommandReader::Got::Bad:
-          side_.answer(add_slot(), "CLIENT_ERROR bad command\r\n");
+          side_.reject(add_slot(), "ERROR\r\n");
           break;
-        case CommandReader::Got::Broken:
-          side_.answer(add_slot(), "CLIENT_ERROR bad framing\r\n");
-          broken_ = true;
+        default:
+          side_.reject(add_slot(), "CLIENT_ERROR bad command\r\n");
           break;
       }
     }
-    if (broken_) in = {};
+    if (broken_ || closed_) in = {};
   }
 
   void parse_held() {
     std::string_view in = held_;
     parse(in);
-    held_.erase(0, held_.size() - in.size());
+    if (in.empty())
+      std::string().swap(held_);
+    else
+      held_.erase(0, held_.size() - in.size());
   }
 
-  /// Back-pressure for large values being written: all of one must fit in what is left of the
-  /// budget for all before its bytes are read.
-  bool admit_upload() {
-    std::size_t missing = reader_.value_missing();
-    if (upload_ > 0 || missing <= kLargeValue) return true;
-    if (side_.upload_bytes_ + missing > side_.limits_.upload_bytes) {
-      upload_waits_ = true;
-      return false;
-    }
-    upload_waits_ = false;
-    upload_ = missing;
-    side_.upload_bytes_ += missing;
-    return true;
-  }
-  void release_upload() {
-    side_.upload_bytes_ -= upload_;
-    upload_ = 0;
+  void speak() {
+    if (!spoken_) --side_.silent_;
+    spoken_ = true;
   }
 
   /// A half-close looks like a close. What was taken is still answered: a client that is really
   /// gone only makes the write fail.
   void end_of_input() {
     eof_ = true;
-    held_.clear();
-    release_upload();
+    std::string().swap(held_);
     event_del(read_.get());
-    if (slots_.empty() && out_.empty()) {
+    if (vacant()) {
       side_.close(*this);
       return;
     }
@@ -159,16 +156,13 @@
 
   /// Moves finished answers into the output, in order.
   void advance() {
-    while (!slots_.empty()) {
-      ClientSlot& slot = slots_.front();
-      if (!slot.text.empty()) {
-        if (out_.empty())
-          out_ = std::move(slot.text);
-        else
-          out_ += slot.text;
-        slot.text.clear();
-      }
-      if (!slot.done) return;
+    while (!slots_.empty() && slots_.front().done) {
+      std::string& text = slots_.front().text;
+      ready_ -= text.size();
+      if (out_.empty())
+        out_ = std::move(text);
+      else
+        out_ += text;
       slots_.pop_front();
     }
   }
@@ -191,21 +185,21 @@
       stalled_since_ = 0;
     }
     if (out_at_ == out_.size()) {
-      if (out_.capacity() > kOutLow) std::string().swap(out_);
-      out_.clear();
+      std::string().swap(out_);
       out_at_ = 0;
+      if (slots_.empty()) used_at_ = side_.clock_.now();
     } else if (out_at_ > kOutLow) {
       out_.erase(0, out_at_);
       out_at_ = 0;
     }
-    if (out_.empty() && slots_.empty() &&
-        (eof_ || broken_ || over_limit_ || (side_.draining_ && !in_command()))) {
+    if (vacant() && (eof_ || broken_ || over_limit_ || (side_.draining_ && !in_command()))) {
       finish();
+      account();
       return;
     }
-    if (!slots_.empty() && slots_.front().streaming && out_.size() - out_at_ < kOutLow)
-      side_.handler_.on_room(slots_.front().id);
-    if (!held_.empty() && !closed_) parse_held();
+    if (!held_.empty()) parse_held();
+    if (closed_) return;
+    account();
     update_reading();
   }
 
@@ -224,21 +218,27 @@
 
   void update_reading() {
     if (closed_ || eof_ || lingering_) return;
-    bool want = held_.empty() && !broken_ && slots_.size() < kPipelineMax &&
-                out_.size() - out_at_ < kOutHigh;
+    bool want = held_.empty() && !broken_ && !full();
     if (want == reading_) return;
     reading_ = want;
     want ? event_add(read_.get(), nullptr) : event_del(read_.get());
   }
 
-  void sweep(Micros now) {
-    if (upload_waits_ && !held_.empty()) {
-      parse_held();
-      update_reading();
-    }
-    bool late = lingering_ ? now - since_ > kLingerTime
-                           : in_command() && slots_.empty() && now - since_ > kCommandTime;
-    if (late || (stalled_since_ && now - stalled_since_ > kStallTime)) side_.close(*this);
+  /// True when its time is up, whatever it has been doing or not doing.
+  bool overdue(Micros now) const {
+    if (lingering_) return now - since_ > kLingerTime;
+    if (stalled_since_ && now - stalled_since_ > kStallTime) return true;
+    if (!vacant()) return false;  // its requests have deadlines of their own
+    if (in_command()) return now - since_ > kCommandTime;
+    return now - used_at_ > (spoken_ ? kIdleTime : kCommandTime);
+  }
+
+  std::size_t waiting() const { return out_.size() - out_at_ + ready_; }
+  /// Renews its part in the bytes held for all.
+  void account() {
+    std::size_t now = closed_ ? 0 : reader_.buffered() + held_.size() + waiting();
+    side_.buffered_ += now - accounted_;
+    accounted_ = now;
   }
 
   ClientSide& side_;
@@ -249,16 +249,19 @@
   std::string held_;  // bytes read that must wait to be parsed
   std::string out_;
   std::size_t out_at_ = 0;
-  std::size_t upload_ = 0;  // of the budget for large values
-  bool upload_waits_ = false;
+  std::size_t ready_ = 0;      // answer bytes in the slots
+  std::size_t accounted_ = 0;  // of ClientSide::buffered_
+  std::size_t lingered_ = 0;   // bytes read and dropped since our FIN
   bool reading_ = true;
   bool eof_ = false;
-  bool broken_ = false;  // framing lost: closes after the answers due
+  bool broken_ = false;  // nothing more is taken from it: closes after the answers due
   bool over_limit_;      // refused and closed
+  bool spoken_ = false;  // a whole command has come
   bool lingering_ = false;
   bool dirty_ = false;
   bool closed_ = false;
-  Micros since_;  // last command's first byte, or start of the linger
+  Micros since_;    // first byte of the command under way, or start of the linger
+  Micros used_at_;  // accepted, or last answered whole
   Micros stalled_since_ = 0;
   std::size_t index_ = 0;  // in ClientSide::connections_
 };
@@ -300,7 +303,7 @@
 }
 
 void ClientSide::on_accept(evutil_socket_t, short, void* self) {
-  static_cast<ClientSide*>(self)->accept_some(64);
+  static_cast<ClientSide*>(self)->accept_some(kAcceptMost);
 }
 
 void ClientSide::on_sweep(evutil_socket_t, short, void* self) {
@@ -309,7 +312,10 @@
 
 void ClientSide::accept_some(int most) {
   while (most-- > 0) {
-    if (connections_.size() >= limits_.connections && !close_longest_idle() &&
+    // Those that have said nothing have a third of the places: a crowd of them pushes out its own,
+    // not the clients that ask.
+    if (silent_ >= limits_.connections / 3) evict_silent();
+    if (connections_.size() >= limits_.connections && !evict() &&
         connections_.size() >= limits_.connections + limits_.spare_connections) {
       accept_paused_ = true;  // level-triggered: without this the loop would spin
       event_del(accept_event_.get());
@@ -318,8 +324,8 @@
     Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd) {
       if (errno == EINTR || errno == ECONNABORTED) continue;
-      if (errno != EAGAIN && errno != EWOULDBLOCK && !close_longest_idle()) {
-        accept_paused_ = true;  // out of descriptors or memory: the sweep tries again
+      if (errno != EAGAIN && errno != EWOULDBLOCK && !evict()) {
+        accept_paused_ = true;  // out of descriptors or memory: a close or the sweep tries again
         event_del(accept_event_.get());
       }
       return;
@@ -329,22 +335,49 @@
     bool over = connections_.size() >= limits_.connections;
     connections_.push_back(std::make_unique<ClientConnection>(*this, std::move(fd), over));
     connections_.back()->index_ = connections_.size() - 1;
+    ++silent_;
+  }
+}
+
+/// Makes room by closing the connection that is missed least: one that only waits for the client's
+/// FIN, else the one that has had no request open for longest. False where each has one open.
+bool ClientSide::evict() {
+  ClientConnection* best = nullptr;
+  for (auto& c : connections_) {
+    if (!c->vacant()) continue;
+    if (!best || c->lingering_ > best->lingering_ ||
+        (c->lingering_ == best->lingering_ && c->used_at_ < best->used_at_))
+      best = c.get();
   }
+  if (best) close(*best);
+  return best != nullptr;
 }
 
-bool ClientSide::close_longest_idle() {
-  ClientConnection* longest = nullptr;
+bool ClientSide::evict_silent() {
+  ClientConnection* oldest = nullptr;
   for (auto& c : connections_)
-    if (c->idle() && !c->lingering_ && (!longest || c->since_ < longest->since_)) longest = c.get();
-  if (!longest) return false;
-  close(*longest);
-  return true;
+    if (!c->spoken_ && c->vacant() && (!oldest || c->used_at_ < oldest->used_at_)) oldest = c.get();
+  if (oldest) close(*oldest);
+  return oldest != nullptr;
+}
+
+/// Bounds what slow readers and writers of long values make the router hold, whichever way they go
+/// about it: the connection that holds most is closed first. It hurts a client with large answers
+/// on a slow line when many others are slow as well.
+void ClientSide::bound_buffers() {
+  while (buffered_ > limits_.buffer_bytes) {
+    ClientConnection* most = nullptr;
+    for (auto& c : connections_)
+      if (!most || c->accounted_ > most->accounted_) most = c.get();
+    if (!most) return;
+    close(*most);
+  }
 }
 
 void ClientSide::sweep() {
   Micros now = clock_.now();
   for (std::size_t k = connections_.size(); k-- > 0;)  // from the end: closing moves the last one
-    if (k < connections_.size()) connections_[k]->sweep(now);
+    if (connections_[k]->overdue(now)) close(*connections_[k]);
   if (accept_paused_ && !draining_) {
     accept_paused_ = false;
     event_add(accept_event_.get(), nullptr);
@@ -363,6 +396,8 @@
   for (ClientSlot& slot : c.slots_)
     if (slot.id && !slot.done) handler_.on_gone(slot.id);
   c.slots_.clear();
+  if (!c.spoken_) --silent_;
+  c.account();
   c.read_.reset();
   c.write_.reset();
   c.fd_.reset();
@@ -373,38 +408,22 @@
     connections_[at]->index_ = at;
   }
   connections_.pop_back();
+  if (accept_paused_ && !draining_) {
+    accept_paused_ = false;
+    event_add(accept_event_.get(), nullptr);
+  }
 }
 
 void ClientSide::answer(ClientSlot& slot, std::string text) {
-  slot.text += text;
+  slot.connection->ready_ += text.size();
+  slot.text = std::move(text);
   slot.done = true;
   touch(*slot.connection);
 }
 
-void ClientSide::stream_begin(ClientSlot& slot, std::string line) {
-  slot.text = std::move(line);
-  slot.streaming = true;
-  touch(*slot.connection);
-}
-
-void ClientSide::stream_data(ClientSlot& slot, std::string_view data) {
-  slot.text += data;
-  touch(*slot.connection);
-}
-
-void ClientSide::stream_end(ClientSlot& slot) { answer(slot, "\r\n"); }
-
-void ClientSide::cut(ClientSlot& slot) {
-  ClientConnection& c = *slot.connection;
-  slot.done = true;  // final: no on_gone for it
-  close(c);
-}
-
-bool ClientSide::has_room(const ClientSlot& slot) const {
-  const ClientConnection& c = *slot.connection;
-  std::size_t waiting = slot.text.size();
-  if (&c.slots_.front() == &slot) waiting += c.out_.size() - c.out_at_;
-  return waiting < kOutHigh;
+void ClientSide::reject(ClientSlot& slot, std::string text) {
+  slot.connection->broken_ = true;
+  answer(slot, std::move(text));
 }
 
 void ClientSide::flush() {
@@ -415,6 +434,7 @@
     if (!c->closed_) c->flush();
   }
   dirty_.clear();
+  bound_buffers();
   closed_.clear();
 }
 
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -21,9 +21,8 @@
 struct ClientSlot {
   ClientConnection* connection = nullptr;
   RequestId id = 0;
-  std::string text;        ///< answer bytes that wait for those before them
-  bool done = false;       ///< the whole answer is in `text` or written
-  bool streaming = false;  ///< a large value is under way
+  std::string text;   ///< the answer, while those before it are not whole
+  bool done = false;  ///< the whole answer is in `text` or written
 };
 
 class ClientSide {
@@ -32,19 +31,17 @@
   class Handler {
    public:
     virtual ~Handler() = default;
-    /// A request was taken. The handler answers the slot once.
+    /// A request was taken. The handler answers or rejects the slot once.
     virtual void on_command(ClientSlot& slot, Command&& command) = 0;
     /// The client sends nothing more; whether it still reads can't be told from that.
     virtual void on_left(RequestId id) = 0;
     /// The connection is closed and the slot with it.
     virtual void on_gone(RequestId id) = 0;
-    /// A streamed value may go on.
-    virtual void on_room(RequestId id) = 0;
   };
   struct Limits {
-    std::size_t connections = 600;      ///< beyond, commands are refused as busy
-    std::size_t spare_connections = 50; ///< so many beyond are accepted for that
-    std::size_t upload_bytes = 32u << 20;  ///< of large values being written by clients
+    std::size_t connections = 600;        ///< beyond, commands are refused as busy
+    std::size_t spare_connections = 50;   ///< so many beyond are accepted for that
+    std::size_t buffer_bytes = 8u << 20;  ///< held for all clients together, in and out
   };
 
   ClientSide(event_base* base, const Clock& clock, Handler& handler, Limits limits);
@@ -57,14 +54,9 @@
 
   /// Gives the whole final answer.
   void answer(ClientSlot& slot, std::string text);
-  /// A large value: its line, its parts, its end. `cut` ends the connection, so that the client can
-  /// tell that the value is not whole.
-  void stream_begin(ClientSlot& slot, std::string line);
-  void stream_data(ClientSlot& slot, std::string_view data);
-  void stream_end(ClientSlot& slot);
-  void cut(ClientSlot& slot);
-  /// False when the client is slower than the value comes; on_room follows.
-  bool has_room(const ClientSlot& slot) const;
+  /// Answers a command that can't be used. The connection closes after it: who sends one may send
+  /// any number of them at full speed, and a new connection each time slows it down.
+  void reject(ClientSlot& slot, std::string text);
 
   /// Writes what answer() and the others have left. Call once an iteration of the loop.
   void flush();
@@ -74,13 +66,16 @@
   /// connection as soon as it is between requests.
   void drain();
   std::size_t connections() const { return connections_.size(); }
+  std::size_t buffered() const { return buffered_; }
 
  private:
   friend class ClientConnection;
   static void on_accept(evutil_socket_t, short, void* self);
   static void on_sweep(evutil_socket_t, short, void* self);
   void accept_some(int most);
-  bool close_longest_idle();
+  bool evict();
+  bool evict_silent();
+  void bound_buffers();
   void sweep();
   void touch(ClientConnection& connection);
   void close(ClientConnection& connection);
@@ -96,7 +91,8 @@
   std::vector<std::unique_ptr<ClientConnection>> connections_;
   std::vector<std::unique_ptr<ClientConnection>> closed_;  // freed at the end of an iteration
   std::vector<ClientConnection*> dirty_;
-  std::size_t upload_bytes_ = 0;
+  std::size_t silent_ = 0;    // connections on which no whole command has come
+  std::size_t buffered_ = 0;  // bytes held for all connections
   std::unique_ptr<char[]> scratch_;
 };
 
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -140,6 +140,7 @@
   const Json& settings = member(json, "settings");
   if (!settings.is_object()) throw ConfigError("settings: no object");
   flatten(settings, "", pairs);
+  c.settings_text = settings.dump();
   try {
     robinseam::drill::SettingPairs by_path(pairs.begin(), pairs.end());
     c.settings = robinseam::drill::settings_of(by_path);
@@ -168,7 +169,9 @@
   }
 }
 
-Config load_config() {
+namespace {
+
+Config config_from_file() {
   const char* path = std::getenv("NODE_CONFIG");
   if (!path || !*path) throw ConfigError("NODE_CONFIG: not set");
   std::ifstream file(path, std::ios::binary);
@@ -176,16 +179,39 @@
   if (!file || !(text << file.rdbuf()))
     throw ConfigError(std::string("NODE_CONFIG: cannot read ") + path + ": " +
                       std::strerror(errno));
-  Config c = parse_config(text.str());
-  auto override_with = [](const char* variable, std::string& value) {
-    const char* set = std::getenv(variable);
-    if (set && *set) value = set;
-  };
-  override_with("NODE_NAME", c.name);
-  override_with("NODE_LISTEN", c.listen);
-  override_with("NODE_DISCOVERY", c.discovery);
+  return parse_config(text.str());
+}
+
+const char* variable(const char* name) {
+  const char* set = std::getenv(name);
+  return set && *set ? set : nullptr;
+}
+
+void complete(const Config& c) {
   if (c.listen.empty()) throw ConfigError("listen: missing");
   if (c.discovery.empty()) throw ConfigError("discovery: missing");
+}
+
+}  // namespace
+
+Config load_config() {
+  Config c = config_from_file();
+  if (auto set = variable("NODE_NAME")) c.name = set;
+  if (auto set = variable("NODE_LISTEN")) c.listen = set;
+  if (auto set = variable("NODE_DISCOVERY")) c.discovery = set;
+  complete(c);
+  return c;
+}
+
+Config reload_config() {
+  Config c = config_from_file();
+  auto fill = [](std::string& value, const char* name) {
+    if (auto set = variable(name); set && value.empty()) value = set;
+  };
+  fill(c.name, "NODE_NAME");
+  fill(c.listen, "NODE_LISTEN");
+  fill(c.discovery, "NODE_DISCOVERY");
+  complete(c);
   return c;
 }
 
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -36,12 +36,15 @@
   std::size_t sockets = 0;
   HostList known;
   robinseam::Settings settings;
+  std::string settings_text;  ///< as the file had them, to tell whether they differ
   robinseam::drill::LinkSettings links;
 };
 
 /// Reads the file that NODE_CONFIG names; the other NODE_ variables, where set, come before it.
 /// Throws ConfigError.
 Config load_config();
+/// Reads that file again. The environment is as old as the process, so now the file comes first.
+Config reload_config();
 /// The same from the file's text alone.
 Config parse_config(const std::string& json);
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -15,7 +15,7 @@
 constexpr int kFirstWaitMs = 1;
 // A call that is not answered this long after its wait has failed: discovery answers or fails what
 // it can't do within seconds, so silence means that it can't be reached.
-constexpr Micros kCallTime = 4 * kSecond;
+constexpr Micros kCallTime = 2 * kSecond;
 constexpr Micros kInsistPause = kSecond;
 constexpr ev_ssize_t kMaxBody = 8 << 20;
 constexpr ev_ssize_t kMaxHeaders = 64 << 10;
@@ -30,11 +30,17 @@
 }  // namespace
 
 DiscoveryCall::DiscoveryCall(event_base* base, const std::string& address, Done done)
-    : base_(base), authority_(address), done_(std::move(done)) {
-  std::size_t colon = address.rfind(':');
-  host_ = address.substr(0, colon);
-  if (auto parsed = parse_address(address)) port_ = ntohs(parsed->sin_port);
+    : base_(base), done_(std::move(done)) {
   ready_.reset(event_new(base, -1, 0, on_ready, this));
+  set_address(address);
+}
+
+void DiscoveryCall::set_address(const std::string& address) {
+  stop();
+  authority_ = address;
+  host_ = address.substr(0, address.rfind(':'));
+  auto parsed = parse_address(address);
+  port_ = parsed ? ntohs(parsed->sin_port) : 0;
 }
 
 DiscoveryCall::~DiscoveryCall() = default;
@@ -118,6 +124,14 @@
   fetch_.start(kPath, kCallTime);
 }
 
+void Discovery::move(const std::string& address) {
+  stop();
+  watch_.set_address(address);
+  fetch_.set_address(address);
+  version_.clear();
+  watch();
+}
+
 void Discovery::stop() {
   watch_.stop();
   fetch_.stop();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -20,6 +20,8 @@
   using Done = std::function<void(std::optional<HostList>)>;
   DiscoveryCall(event_base* base, const std::string& address, Done done);
   ~DiscoveryCall();
+  /// Where later calls go; one that is under way is dropped.
+  void set_address(const std::string& address);
   /// Starts a call; one that is under way is dropped.
   void start(const std::string& path, Micros limit);
   void stop();
@@ -57,6 +59,9 @@
   void watch();
   /// Asks for the whole list once.
   void fetch();
+  /// Discovery is at another address now: begins a watch there with the whole list, whatever was
+  /// going on at the old one. The version held is the old one's and may mean nothing there.
+  void move(const std::string& address);
   void stop();
 
  private:
--- a/src/net/memcache.cpp
+++ b/src/net/memcache.cpp
@@ -10,6 +10,9 @@
 namespace arrowfork {
 namespace {
 
+constexpr std::size_t kMaxPairs = 16;  // names and values of one command
+constexpr double kMaxFigure = 1e9;     // of a load report; beyond, it can't be read
+
 template <typename T>
 std::optional<T> number(std::string_view text) {
   T value{};
@@ -59,118 +62,114 @@
   return value.size() >= 2 && value[value.size() - 2] == '\r' && value.back() == '\n';
 }
 
-bool plain(std::string_view text) {
-  return std::none_of(text.begin(), text.end(), [](unsigned char c) { return c < 33 || c == 127; });
+/// No control characters: what a terminal or another parser would not take for part of a line.
+bool printable(std::string_view text) {
+  return std::none_of(text.begin(), text.end(), [](unsigned char c) { return c < 32 || c == 127; });
 }
 
 }  // namespace
 
-std::string Command::line(std::int64_t wait) const {
+std::string Command::wire(std::int64_t wait) const {
   char digits[24];
   char* end = std::to_chars(digits, digits + sizeof digits, wait).ptr;
   std::string text;
   text.reserve(before_d.size() + after_d.size() + static_cast<std::size_t>(end - digits) + 2 +
-               (value && value->size() <= kLargeValue ? value->size() : 0));
-  text.append(before_d).append(digits, end).append(after_d).append("\r\n");
+               value.size());
+  text.append(before_d).append(digits, end).append(after_d).append("\r\n").append(value);
   return text;
 }
 
 CommandReader::Got CommandReader::take_line(std::string_view line, Command& command) {
   std::string_view rest = line;
   std::string_view verb = next_word(rest);
-  if (verb == "mn") return Got::Noop;
+  if (verb == "mn" && next_word(rest).empty()) return Got::Noop;
   if (verb != "mg" && verb != "ms") return Got::Unknown;
+  if (!printable(line)) return Got::Bad;
   command = Command();
   command.set = verb == "ms";
   std::string_view key = next_word(rest);
-  bool good = !key.empty() && key.size() <= kMaxKey && plain(key);
+  if (key.empty() || key.size() > kMaxKey) return Got::Bad;
   if (command.set) {
     auto length = number<std::size_t>(next_word(rest));
-    // Without its length nobody can tell where the value ends.
-    if (!length || *length > kMaxValue) return Got::Broken;
+    if (!length || *length > kMaxValue) return Got::Bad;
     value_need_ = *length + 2;
-    state_ = State::Skip;  // until the line proves good
   }
-  Got bad = command.set ? Got::Nothing : Got::Bad;  // a bad set is told once its value is skipped
   std::string_view pairs;
+  bool wants_value = false;
   while (true) {
     std::string_view flag = next_word(rest);
     if (flag.empty()) break;
-    if (flag[0] == 'O') command.id = flag.substr(1);
-    if (flag[0] == 'P') pairs = flag.substr(1);
+    if (flag == "v" && !command.set && !wants_value)
+      wants_value = true;
+    else if (flag[0] == 'O' && command.id.empty())
+      command.id = flag.substr(1);
+    else if (flag[0] == 'P' && pairs.empty())
+      pairs = flag.substr(1);
+    else
+      return Got::Bad;  // one that is not of the protocol, or comes twice
   }
-  if (!good || command.id.empty() || pairs.empty() || !plain(line.substr(line.size() - 1)))
-    return bad;
-  std::string_view at_d = pairs.substr(pairs.size());
-  bool has_d = false;
+  if (command.id.empty() || command.id.size() > kMaxOpaque || wants_value == command.set)
+    return Got::Bad;
+  std::string_view wait;
+  std::vector<std::string_view> names;
   for (std::string_view left = pairs; !left.empty();) {
     std::string_view pair = left.substr(0, left.find(','));
     left.remove_prefix(std::min(left.size(), pair.size() + 1));
     std::size_t eq = pair.find('=');
-    if (eq == pair.npos) continue;
+    if (eq == pair.npos) return Got::Bad;
     std::string_view name = pair.substr(0, eq), value = pair.substr(eq + 1);
+    // Of two the cache server may believe the other one.
+    if (names.size() == kMaxPairs || std::find(names.begin(), names.end(), name) != names.end())
+      return Got::Bad;
+    names.push_back(name);
     if (name == "c") command.type = value;
     if (name == "t") command.tenant = value;
     if (name == "r") command.repeat = value == "1";
-    if (name == "h") {
+    if (name == "k") command.idempotent = !value.empty();
+    if (name == "d") wait = value;
+    if (name == "h") {  // a guess: one that can't be used is none
       auto work = number<double>(value);
-      if (work && std::isfinite(*work) && *work >= 0 && *work < 1e15)
-        command.work = static_cast<std::int64_t>(*work);
-    }
-    if (name == "d") {
-      auto wait = number<double>(value);
-      if (!wait || !std::isfinite(*wait) || *wait < 0 || *wait > 1e9) return bad;
-      command.wait_ms = *wait;
-      at_d = value;
-      has_d = true;
+      if (work && *work >= 0 && *work < 1e12) command.work = static_cast<std::int64_t>(*work);
     }
   }
-  if (command.type.empty()) return bad;
+  auto wait_ms = number<double>(wait);
+  if (command.type.empty() || !wait_ms || !(*wait_ms >= 0 && *wait_ms <= 1e9)) return Got::Bad;
+  command.wait_ms = *wait_ms;
   command.key = key;
-  std::size_t cut = static_cast<std::size_t>(at_d.data() - line.data());
+  std::size_t cut = static_cast<std::size_t>(wait.data() - line.data());
   command.before_d = line.substr(0, cut);
-  if (!has_d) command.before_d += ",d=";
-  command.after_d = line.substr(cut + at_d.size());
+  command.after_d = line.substr(cut + wait.size());
   if (!command.set) return Got::Command;
   state_ = State::Value;
-  value_ = std::make_shared<std::string>();
-  value_->reserve(std::min<std::size_t>(value_need_, kLargeValue));
   pending_ = std::move(command);
   return Got::Nothing;
 }
 
 CommandReader::Got CommandReader::take(std::string_view& in, Command& command) {
-  while (true) {
+  while (!in.empty()) {
     if (state_ == State::Line) {
-      if (in.empty()) return Got::Nothing;
       bool too_long = false;
       auto line = take_text_line(in, partial_, too_long);
-      if (too_long) return Got::Broken;
+      if (too_long) return Got::Bad;
       if (!line) return Got::Nothing;
       Got got = take_line(*line, command);
-      partial_.clear();
+      std::string().swap(partial_);
       if (got != Got::Nothing) return got;
-    } else if (state_ == State::Value) {
-      take_bytes(in, *value_, value_need_);
-      if (value_need_ > 0) return Got::Nothing;
-      state_ = State::Line;
-      if (!ends_line(*value_)) return Got::Broken;
-      pending_.value = std::move(value_);
-      command = std::move(pending_);
-      return Got::Command;
     } else {
-      std::size_t size = std::min(value_need_, in.size());
-      in.remove_prefix(size);
-      value_need_ -= size;
+      take_bytes(in, pending_.value, value_need_);
       if (value_need_ > 0) return Got::Nothing;
       state_ = State::Line;
-      return Got::Bad;
+      command = std::move(pending_);
+      pending_ = Command();
+      return ends_line(command.value) ? Got::Command : Got::Bad;
     }
   }
+  return Got::Nothing;
 }
 
 void AnswerReader::parse_report(std::string_view text, Answer& answer) const {
-  answer.report.assign(fields_->size(), std::numeric_limits<double>::quiet_NaN());
+  std::vector<double> report(fields_->size(), std::numeric_limits<double>::quiet_NaN());
+  bool any = false;
   while (!text.empty()) {
     std::string_view pair = text.substr(0, text.find(','));
     text.remove_prefix(std::min(text.size(), pair.size() + 1));
@@ -178,14 +177,18 @@
     if (eq == pair.npos) continue;
     auto field = robinseam::drill::report_field_of(pair.substr(0, eq));
     auto value = number<double>(pair.substr(eq + 1));
-    if (!field || !value || !std::isfinite(*value)) continue;  // unreadable: skipped
+    if (!field || !value || !(*value >= 0 && *value <= kMaxFigure)) continue;  // unreadable
     auto at = std::find(fields_->begin(), fields_->end(), *field);
-    if (at != fields_->end()) answer.report[static_cast<std::size_t>(at - fields_->begin())] = *value;
+    if (at == fields_->end()) continue;
+    report[static_cast<std::size_t>(at - fields_->begin())] = *value;
+    any = true;
   }
+  if (any) answer.report = std::move(report);
 }
 
 bool AnswerReader::parse_line(std::string_view line, Answer& answer) const {
   answer = Answer();
+  if (!printable(line)) return false;
   std::string_view rest = line;
   std::string_view verb = next_word(rest);
   bool flags = true;
@@ -234,65 +237,36 @@
     }
   }
   if (fetching && answer.note == 2) answer.note = 3;
+  // Served without what it was served with: nobody could tell that it was.
+  if (answer.kind == Answer::Kind::Stored && answer.receipt.empty()) return false;
   return true;
 }
 
-AnswerReader::Got AnswerReader::take(std::string_view& in, Answer& answer,
-                                     std::string_view& chunk) {
-  while (true) {
-    switch (state_) {
-      case State::Line: {
-        if (in.empty()) return Got::Nothing;
-        bool too_long = false;
-        auto line = take_text_line(in, partial_, too_long);
-        if (too_long) return Got::Broken;
-        if (!line) return Got::Nothing;
-        bool good = parse_line(*line, answer);
-        partial_.clear();
-        if (!good) return Got::Broken;
-        if (answer.kind != Answer::Kind::Value) return Got::Answer;
-        if (answer.length > kLargeValue) {
-          need_ = answer.length;
-          state_ = State::Large;
-          return Got::Head;
-        }
-        need_ = answer.length + 2;
-        if (in.size() >= need_) {  // the usual case: all of it is here
-          if (in[need_ - 2] != '\r' || in[need_ - 1] != '\n') return Got::Broken;
-          answer.value = in.substr(0, need_);
-          in.remove_prefix(need_);
-          return Got::Answer;
-        }
-        pending_ = std::move(answer);
-        pending_.value.reserve(need_);
-        state_ = State::Value;
-        break;
-      }
-      case State::Value:
-        take_bytes(in, pending_.value, need_);
-        if (need_ > 0) return Got::Nothing;
-        state_ = State::Line;
-        if (!ends_line(pending_.value)) return Got::Broken;
-        answer = std::move(pending_);
-        return Got::Answer;
-      case State::Large: {
-        if (in.empty()) return Got::Nothing;
-        chunk = in.substr(0, need_);
-        in.remove_prefix(chunk.size());
-        need_ -= chunk.size();
-        if (need_ == 0) need_ = 2, state_ = State::LargeEnd;
-        return Got::Chunk;
-      }
-      case State::LargeEnd:
-        if (in.empty()) return Got::Nothing;
-        take_bytes(in, partial_, need_);
-        if (need_ > 0) return Got::Nothing;
-        state_ = State::Line;
-        bool whole = ends_line(partial_);
-        partial_.clear();
-        return whole ? Got::End : Got::Broken;
+AnswerReader::Got AnswerReader::take(std::string_view& in, Answer& answer) {
+  while (!in.empty()) {
+    if (state_ == State::Line) {
+      bool too_long = false;
+      auto line = take_text_line(in, partial_, too_long);
+      if (too_long) return Got::Broken;
+      if (!line) return Got::Nothing;
+      bool good = parse_line(*line, answer);
+      std::string().swap(partial_);
+      if (!good) return Got::Broken;
+      if (answer.kind != Answer::Kind::Value) return Got::Answer;
+      need_ = answer.length + 2;
+      pending_ = std::move(answer);
+      pending_.value.reserve(need_);
+      state_ = State::Value;
+    } else {
+      take_bytes(in, pending_.value, need_);
+      if (need_ > 0) return Got::Nothing;
+      state_ = State::Line;
+      answer = std::move(pending_);
+      pending_ = Answer();
+      return ends_line(answer.value) ? Got::Answer : Got::Broken;
     }
   }
+  return Got::Nothing;
 }
 
 }  // namespace arrowfork
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 
 namespace arrowfork {
 namespace {
@@ -15,7 +16,11 @@
 // Descriptors for the listener, the event base, discovery and the log.
 constexpr std::size_t kReservedSockets = 24;
 constexpr std::size_t kSpareClients = 50;
-constexpr std::size_t kOpenMost = 20'000;  // bounds the memory of the table of open requests
+// Memory, as parts of what the router may use: the commands of open requests, and what is buffered
+// for clients. An open request costs kOpenBytes beside its command: its places in the tables here
+// and in the module, timers, and its answer on the way.
+constexpr std::size_t kOpenPart = 4, kBufferPart = 8;
+constexpr std::size_t kOpenBytes = 4096;
 // After SIGTERM the front still sends new connections for up to 0.4 s, and what comes later than
 // 0.7 s is ours to lose no more: in between the router stops listening.
 constexpr Micros kStopListening = kSecond / 2;
@@ -25,6 +30,8 @@
 constexpr Micros kLastAnswer = 15 * kMillisecond;
 
 const char* const kFailed = "SERVER_ERROR failed\r\n";
+const char* const kBusy = "SERVER_ERROR busy\r\n";
+const char* const kBad = "CLIENT_ERROR bad command\r\n";
 
 std::size_t server_sockets(const Config& c) { return (c.sockets - kReservedSockets) / 3; }
 
@@ -32,7 +39,7 @@
   ClientSide::Limits l;
   l.spare_connections = std::min(kSpareClients, c.sockets / 16);
   l.connections = c.sockets - kReservedSockets - server_sockets(c) - l.spare_connections;
-  l.upload_bytes = std::max<std::size_t>(c.memory_bytes / 4, kMaxValue + 2);
+  l.buffer_bytes = c.memory_bytes / kBufferPart;
   return l;
 }
 
@@ -74,7 +81,9 @@
     : base_(base),
       config_(config),
       balancer_(make_balancer(config, clock_.now())),
-      max_open_(std::min<std::size_t>(kOpenMost, static_cast<std::size_t>(config.links.max_open))),
+      max_open_(std::min<std::size_t>(config.memory_bytes / kOpenPart / kOpenBytes,
+                                      static_cast<std::size_t>(config.links.max_open))),
+      max_open_bytes_(config.memory_bytes / kOpenPart),
       clients_(base, clock_, *this, client_limits(config)),
       servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields),
       discovery_(base, config.discovery, config.known.version, !config.settings.must_ask, *this) {
@@ -119,8 +128,9 @@
   auto* r = static_cast<Router*>(self);
   r->clients_.drain();
   Micros waited = r->clock_.now() - r->stopping_since_;
-  if ((r->open_.empty() && r->clients_.connections() == 0) ||
-      waited > longest_deadline(r->config_) + kStopSlack) {
+  bool late = waited > longest_deadline(r->config_) + kStopSlack;
+  if (late) r->fail_all();
+  if (late || (r->open_.empty() && r->clients_.connections() == 0)) {
     r->done_ = true;
     return;
   }
@@ -128,25 +138,63 @@
   event_add(r->stop_event_.get(), &wait);
 }
 
+/// The last moment before the end: nobody waits for an answer that will never come.
+void Router::fail_all() {
+  for (auto& [id, open] : open_)
+    if (!open.answered) give_answer(open, kFailed);
+}
+
+void Router::reload(const Config& config) {
+  auto differs = [](const char* what) {
+    std::fprintf(stderr, "arrowfork: reload: %s differs: needs a restart\n", what);
+  };
+  if (!parse_address(config.discovery)) {
+    std::fprintf(stderr, "arrowfork: reload: discovery: no address: '%s'; the old one is kept\n",
+                 config.discovery.c_str());
+    return;
+  }
+  if (config.listen != config_.listen) differs("listen");
+  if (config.memory_bytes != config_.memory_bytes || config.sockets != config_.sockets)
+    differs("limits");
+  if (config.settings_text != config_.settings_text) differs("settings");
+  std::fprintf(stderr, "arrowfork: reload: discovery at %s\n", config.discovery.c_str());
+  config_.discovery = config.discovery;
+  discovery_.move(config.discovery);
+}
+
 // ---- clients ----
 
+/// Takes what the settings know. A class or tenant that they don't, or a keyed write without its
+/// key, means something else to a cache server or nothing, and an id that is open already would
+/// make two requests' answers look alike.
 void Router::on_command(ClientSlot& slot, Command&& command) {
-  if (open_.size() >= max_open_) {  // before the module has seen it
-    clients_.answer(slot, "SERVER_ERROR busy\r\n");
+  const auto& classes = config_.settings.classes;
+  auto type = std::find_if(classes.begin(), classes.end(),
+                           [&](const auto& c) { return c.name == command.type; });
+  const auto& tenants = config_.settings.tenants;
+  bool tenant = tenants.empty() || std::any_of(tenants.begin(), tenants.end(), [&](const auto& t) {
+                  return t.name == command.tenant;
+                });
+  if (type == classes.end() || !tenant || open_ids_.count(command.id) > 0 ||
+      (type->effect == robinseam::Effect::Keyed && !command.idempotent)) {
+    clients_.reject(slot, kBad);
+    return;
+  }
+  if (open_.size() >= max_open_ || open_bytes_ >= max_open_bytes_ || timers_.size() > 8 * max_open_) {
+    clients_.answer(slot, kBusy);  // before the module has seen it
     return;
   }
+  // Nobody waits longer than the class lets him, so no request is held for longer.
+  Micros wait = std::min(static_cast<Micros>(command.wait_ms * 1000), type->deadline);
+  if (command.work && *command.work > type->deadline) command.work.reset();  // no guess at all
   RequestId id = next_id_++;
   slot.id = id;
-  Open& open = open_[id];
+  open_ids_.insert(command.id);
+  open_bytes_ += command.size();
+  Open& open = open_.try_emplace(id, std::move(command)).first->second;
   open.slot = &slot;
-  Micros wait = static_cast<Micros>(command.wait_ms * 1000);
-  if (command.wait_ms < 0) {
-    wait = config_.settings.classes.front().deadline;
-    for (const auto& c : config_.settings.classes)
-      if (c.name == command.type) wait = c.deadline;
-  }
   open.deadline = clock_.now() + wait;
-  open.command = std::move(command);
+  open.untold = 1;
   events_.push_back(RequestEvent{id});
 }
 
@@ -156,7 +204,7 @@
   auto it = open_.find(id);
   if (it == open_.end() || it->second.left) return;
   it->second.left = true;
-  events_.push_back(GoneEvent{id});
+  tell_gone(id, it->second);
 }
 
 void Router::on_gone(RequestId id) {
@@ -164,14 +212,13 @@
   if (it == open_.end()) return;
   Open& open = it->second;
   open.slot = nullptr;
-  if (open.streaming) servers_.resume(open.source, id);  // the rest is read and dropped
   open.answered = true;
-  if (!open.left) events_.push_back(GoneEvent{id});
+  if (!open.left) tell_gone(id, open);
 }
 
-void Router::on_room(RequestId id) {
-  auto it = open_.find(id);
-  if (it != open_.end() && it->second.streaming) servers_.resume(it->second.source, id);
+void Router::tell_gone(RequestId id, Open& open) {
+  ++open.untold;
+  events_.push_back(GoneEvent{id});
 }
 
 // ---- cache servers ----
@@ -203,45 +250,6 @@
   forget_if_done(id);
 }
 
-bool Router::on_value_begin(RequestId id, int attempt, Answer&& head) {
-  auto it = open_.find(id);
-  if (it == open_.end()) return false;
-  Open& open = it->second;
-  Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
-  a.on_wire = false;
-  bool wanted = !open.answered && open.slot;
-  if (wanted) {
-    clients_.stream_begin(*open.slot, "VA " + std::to_string(head.length) + " O" +
-                                          open.command.id + "\r\n");
-    open.answered = open.streaming = true;
-    open.source = a.server;
-  }
-  if (a.out) tell_outcome(id, open, attempt, Status::Ok, &head);
-  forget_if_done(id);
-  return wanted;
-}
-
-bool Router::on_value_data(RequestId id, std::string_view data) {
-  auto it = open_.find(id);
-  if (it == open_.end() || !it->second.slot) return true;
-  clients_.stream_data(*it->second.slot, data);
-  return clients_.has_room(*it->second.slot);
-}
-
-void Router::on_value_end(RequestId id, bool whole) {
-  auto it = open_.find(id);
-  if (it == open_.end()) return;
-  Open& open = it->second;
-  open.streaming = false;
-  if (ClientSlot* slot = std::exchange(open.slot, nullptr)) {
-    if (whole)
-      clients_.stream_end(*slot);
-    else
-      clients_.cut(*slot);
-  }
-  forget_if_done(id);
-}
-
 // ---- discovery ----
 
 void Router::on_hosts(HostList&& list) {
@@ -288,8 +296,10 @@
   if (it == open_.end()) return;
   Open& open = it->second;
   if (attempt == -2) {
-    if (!open.answered) give_answer(open, kFailed);
-    forget_if_done(id);
+    if (!open.answered) {
+      give_answer(open, kFailed);
+      tell_gone(id, open);  // or the module would hold on to it
+    }
     return;
   }
   for (std::size_t k = 0; k < open.attempts.size(); ++k) {
@@ -337,9 +347,11 @@
     } else if (auto* e = std::get_if<RequestEvent>(&event)) {
       auto it = open_.find(e->id);
       if (it == open_.end()) continue;
-      const Open& open = it->second;
-      if (open.answered) {  // gone before the module heard of it
-        open_.erase(it);
+      Open& open = it->second;
+      --open.untold;
+      if (open.answered || open.left) {  // gone before the module heard of it
+        if (!open.answered) give_answer(open, kFailed);
+        forget_if_done(e->id);
         continue;
       }
       robinseam::Request r;
@@ -354,6 +366,7 @@
       set_timer(open.deadline, Due::Expiry, e->id, -1);
       perform(balancer_.on_request(now, r));
     } else if (auto* e = std::get_if<GoneEvent>(&event)) {
+      if (auto it = open_.find(e->id); it != open_.end()) --it->second.untold;
       perform(balancer_.on_gone(now, e->id));
       forget_if_done(e->id);
     } else if (auto* e = std::get_if<ListEvent>(&event)) {
@@ -371,7 +384,7 @@
 
 void Router::act(const robinseam::Send& a) {
   auto it = open_.find(a.id);
-  if (it == open_.end()) return;
+  if (it == open_.end()) return;  // the module outlives no request: see forget_if_done
   Open& open = it->second;
   int attempt = static_cast<int>(open.attempts.size());
   Micros now = clock_.now();
@@ -440,9 +453,11 @@
   auto it = open_.find(id);
   if (it == open_.end()) return;
   const Open& open = it->second;
-  if (!open.answered || open.streaming || open.untold > 0) return;
+  if (!open.answered || open.untold > 0) return;
   for (const Attempt& a : open.attempts)
     if (a.out) return;
+  open_ids_.erase(open.command.id);
+  open_bytes_ -= open.command.size();
   open_.erase(it);
 }
 
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <queue>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -27,6 +28,9 @@
   void run();
   /// Planned end: see PROTOCOL's figures for restarts.
   void stop();
+  /// Takes over a new configuration while running: where discovery is. What else differs needs a
+  /// restart and is logged. One that can't be used is logged, and the old one kept.
+  void reload(const Config& config);
   std::uint16_t port() const { return clients_.port(); }
   std::size_t open_requests() const { return open_.size(); }
 
@@ -38,14 +42,13 @@
     bool on_wire = true;   // its connection still owes it an end
   };
   struct Open {
+    explicit Open(Command&& c) : command(std::move(c)) {}
     ClientSlot* slot = nullptr;  // none once the client is gone
     Command command;
     Micros deadline = 0;
     bool answered = false;   // the final answer is given, or nobody is left to get one
     bool left = false;       // the client sends no more: nothing new is sent for it
-    bool streaming = false;
-    int untold = 0;          // outcomes on their way to the module
-    std::string source;      // server of the streamed value
+    int untold = 0;          // events of it on their way to the module
     std::vector<Attempt> attempts;
   };
   // What waits for its turn to be told to the module.
@@ -67,7 +70,7 @@
   };
   using Event = std::variant<OutcomeEvent, RequestEvent, GoneEvent, ListEvent, TimerEvent>;
 
-  enum class Due { Module, Expiry, Deadline };
+  enum class Due { Module, Expiry };
   struct Timer {
     Micros at;
     std::uint64_t order;  // first set, first rung
@@ -81,12 +84,8 @@
   void on_command(ClientSlot& slot, Command&& command) override;
   void on_left(RequestId id) override;
   void on_gone(RequestId id) override;
-  void on_room(RequestId id) override;
   // ServerSide::Handler
   void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) override;
-  bool on_value_begin(RequestId id, int attempt, Answer&& head) override;
-  bool on_value_data(RequestId id, std::string_view data) override;
-  void on_value_end(RequestId id, bool whole) override;
   // Discovery::Handler
   void on_hosts(HostList&& list) override;
   void on_hosts_failed() override;
@@ -110,6 +109,8 @@
   void act(const robinseam::Probe& a);
   void expire(RequestId id, int attempt);
   void give_answer(Open& open, std::string text);
+  void tell_gone(RequestId id, Open& open);
+  void fail_all();
   void tell_outcome(RequestId id, Open& open, int attempt, Status status, Answer* answer);
   void forget_if_done(RequestId id);
 
@@ -118,8 +119,10 @@
   Clock clock_;
   robinseam::Balancer balancer_;
   std::unordered_map<RequestId, Open> open_;
+  std::unordered_set<std::string> open_ids_;  // the clients' ids of the requests in open_
+  std::size_t open_bytes_ = 0;                // what their commands hold
   RequestId next_id_ = 1;
-  std::size_t max_open_;
+  std::size_t max_open_, max_open_bytes_;
   std::deque<Event> events_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
   std::uint64_t timer_order_ = 0;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -10,20 +10,20 @@
 namespace arrowfork {
 namespace {
 
-constexpr std::size_t kScratch = 64u << 10;
+constexpr std::size_t kScratch = 16u << 10;
 // An idle connection is closed after this part of the time after which the server does it: a
 // command that crosses the server's close ends as a reset, and nobody can tell whether it ran.
 constexpr double kIdlePart = 0.6;
-// One idle for longer than this is looked at for an end before it is used.
-constexpr Micros kPeekAfter = kSecond / 10;
 // An abandoned attempt's answer is waited for this long, so that its connection can be used again;
 // after that the machine is taken for silent.
 constexpr Micros kAbandonTime = kSecond;
-// A large value that makes no progress for this long is cut off; PROTOCOL allows servers 0.1 s.
-constexpr Micros kStallTime = 2 * kSecond;
+// An answer that has begun comes whole within this of its last bytes or never: a line or a value
+// without its end, one whose length doesn't fit, a server that stops in the middle. It might hurt
+// where a path loses packets and repeats them later than this.
+constexpr Micros kPartTime = 60 * kMillisecond;
 // No dial to a server that just refused one while it has connections that work.
 constexpr Micros kDialPause = kSecond / 5;
-constexpr Micros kSweep = kSecond / 20;
+constexpr Micros kSweep = kSecond / 50;
 
 }  // namespace
 
@@ -31,6 +31,7 @@
   std::string id;
   std::string dial;
   std::optional<sockaddr_in> address;
+  bool listed = false;
   bool wanted = false;  // listed and ready
   Micros born = 0;
   Micros no_dial_until = 0;
@@ -42,15 +43,12 @@
   struct Entry {
     RequestId id;
     int attempt;
-    bool live = true;       // somebody waits for it
-    bool streaming = false; // its large value is being passed on
+    bool live = true;  // somebody waits for it
     bool set;
     std::string answer_id;  // that its answer must bear
-    std::string line;       // small values are in it
-    std::shared_ptr<const std::string> value;
-    Micros since;  // queued, then abandoned
-    std::size_t size() const { return line.size() + (value ? value->size() : 0); }
-    bool large() const { return value != nullptr; }
+    std::string bytes;      // of the command; given up once written
+    Micros since;           // queued, then abandoned
+    std::size_t size = bytes.size();
   };
 
   ServerConnection(ServerSide& side, ServerPool& pool, Fd fd)
@@ -79,10 +77,6 @@
   bool forsaken() const {
     return std::none_of(entries_.begin(), entries_.end(), [](const Entry& e) { return e.live; });
   }
-  bool has_large() const {
-    return std::any_of(entries_.begin(), entries_.end(),
-                       [](const Entry& e) { return e.large() || e.streaming; });
-  }
 
   void await_connect() {
     timeval limit = timeval_of(side_.limits_.dial_timeout);
@@ -108,15 +102,10 @@
       iovec parts[64];
       int count = 0;
       std::size_t skip = partial_;
-      auto add = [&](const std::string& bytes) {
-        std::size_t from = std::min(skip, bytes.size());
-        skip -= from;
-        if (from == bytes.size()) return;
-        parts[count++] = {const_cast<char*>(bytes.data()) + from, bytes.size() - from};
-      };
-      for (std::size_t k = sent_; k < entries_.size() && count + 2 <= 64; ++k) {
-        add(entries_[k].line);
-        if (entries_[k].value) add(*entries_[k].value);
+      for (std::size_t k = sent_; k < entries_.size() && count < 64; ++k) {
+        std::string& bytes = entries_[k].bytes;
+        parts[count++] = {bytes.data() + skip, bytes.size() - skip};
+        skip = 0;
       }
       msghdr message{};
       message.msg_iov = parts;
@@ -132,11 +121,10 @@
         return;
       }
       partial_ += static_cast<std::size_t>(put);
-      while (sent_ < entries_.size() && partial_ >= entries_[sent_].size()) {
+      while (sent_ < entries_.size() && partial_ >= entries_[sent_].size) {
         Entry& e = entries_[sent_];
-        partial_ -= e.size();
-        e.line.clear();
-        e.value.reset();
+        partial_ -= e.size;
+        std::string().swap(e.bytes);
         ++sent_;
       }
     }
@@ -149,60 +137,31 @@
       side_.close(*this);
       return;
     }
-    Micros now = used_at_ = side_.clock_.now();
+    read_at_ = used_at_ = side_.clock_.now();
     std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
     Answer answer;
-    std::string_view chunk;
     while (!closed_) {
-      AnswerReader::Got what = reader_.take(in, answer, chunk);
+      AnswerReader::Got what = reader_.take(in, answer);
       if (what == AnswerReader::Got::Nothing) break;
-      // Garbage, and answers nobody asked for, say that the two sides no longer agree on what
-      // belongs to what: nothing more from this connection may be believed.
-      if (what == AnswerReader::Got::Broken || sent_ == 0) {
+      // Garbage, another request's answer and answers nobody asked for say that the two sides no
+      // longer agree on what belongs to what: nothing more from this connection may be believed.
+      if (what == AnswerReader::Got::Broken || sent_ == 0 || !fits(entries_.front(), answer)) {
         side_.close(*this);
         return;
       }
-      Entry& e = entries_.front();
-      switch (what) {
-        case AnswerReader::Got::Answer: {
-          if (!fits(e, answer)) {
-            side_.close(*this);
-            return;
-          }
-          bool last = answer.last;
-          Entry done = std::move(e);
-          pop();
-          if (done.live) {
-            Status status = status_of(answer);
-            side_.handler_.on_attempt_end(done.id, done.attempt, status, std::move(answer));
-          }
-          if (last) {
-            side_.close(*this);
-            return;
-          }
-          break;
-        }
-        case AnswerReader::Got::Head:
-          if (!fits(e, answer)) {
-            side_.close(*this);
-            return;
-          }
-          e.streaming = e.live && side_.handler_.on_value_begin(e.id, e.attempt, std::move(answer));
-          e.live = e.streaming;
-          if (!e.live) e.since = now;
-          break;
-        case AnswerReader::Got::Chunk:
-          if (e.streaming && !side_.handler_.on_value_data(e.id, chunk)) pause();
-          break;
-        case AnswerReader::Got::End:
-          if (e.streaming) side_.handler_.on_value_end(e.id, true);
-          pop();
-          break;
-        default:
-          break;
+      bool last = answer.last;
+      Entry done = std::move(entries_.front());
+      entries_.pop_front();
+      --sent_;
+      if (done.live)
+        side_.handler_.on_attempt_end(done.id, done.attempt, status_of(answer), std::move(answer));
+      if (last) {
+        side_.close(*this);
+        return;
       }
     }
-    if (entries_.empty() && retiring_) side_.close(*this);
+    // So does the beginning of an answer that nobody asked for.
+    if ((sent_ == 0 && reader_.in_answer()) || (entries_.empty() && retiring_)) side_.close(*this);
   }
 
   static Status status_of(const Answer& answer) {
@@ -226,23 +185,6 @@
     return answer.id.empty() || answer.id == e.answer_id;
   }
 
-  void pop() {
-    entries_.pop_front();
-    --sent_;
-  }
-
-  void pause() {
-    if (paused_) return;
-    paused_ = true;
-    event_del(read_.get());
-  }
-  void resume() {
-    if (!paused_ || closed_) return;
-    paused_ = false;
-    used_at_ = side_.clock_.now();
-    event_add(read_.get(), nullptr);
-  }
-
   /// True when the peer has ended or broken the connection, or said something unasked.
   bool ended() const {
     char byte;
@@ -259,11 +201,11 @@
   std::size_t sent_ = 0;       // of them, written whole
   std::size_t partial_ = 0;    // bytes of the next one that are written
   bool connecting_ = true;
-  bool paused_ = false;
   bool retiring_ = false;  // nothing new; closes when its answers have come
   bool dirty_ = false;
   bool closed_ = false;
   Micros used_at_;
+  Micros read_at_ = 0;  // bytes came last
 };
 
 ServerSide::ServerSide(event_base* base, const Clock& clock, Handler& handler, Limits limits,
@@ -283,42 +225,31 @@
 
 void ServerSide::take_list(const HostList& list) {
   if (list.whole)
-    for (auto& [id, pool] : pools_) pool->wanted = false;
+    for (auto& [id, pool] : pools_) pool->listed = pool->wanted = false;
   for (const Host& host : list.hosts) {
     bool gone = host.server.health == robinseam::Health::Gone;
-    auto& pool = pools_[host.server.id];
-    if (!pool) {
-      if (gone) {
-        pools_.erase(host.server.id);
-        continue;
-      }
-      pool = std::make_unique<ServerPool>();
-      pool->id = host.server.id;
+    auto at = pools_.find(host.server.id);
+    if (at == pools_.end()) {
+      if (gone) continue;
+      at = pools_.emplace(host.server.id, std::make_unique<ServerPool>()).first;
     }
+    ServerPool& pool = *at->second;
     // Another process, or another place: what is open leads to the old one.
-    bool moved = !gone && (pool->dial != host.dial || pool->born != host.server.up_since);
+    bool moved = !gone && (pool.dial != host.dial || pool.born != host.server.up_since);
     if (moved) {
-      pool->dial = host.dial;
-      pool->born = host.server.up_since;
-      pool->address = parse_address(host.dial);
-      pool->no_dial_until = 0;
-      for (auto& c : pool->connections) c->retiring_ = true;
-    }
-    pool->wanted = host.server.health == robinseam::Health::Ready;
-  }
-  for (auto it = pools_.begin(); it != pools_.end();) {
-    ServerPool& pool = *it->second;
-    for (std::size_t k = pool.connections.size(); k-- > 0;) {
-      ServerConnection& c = *pool.connections[k];
-      if (!pool.wanted) c.retiring_ = true;
-      if (c.retiring_ && c.idle()) close(c);
+      pool.dial = host.dial;
+      pool.born = host.server.up_since;
+      pool.address = parse_address(host.dial);
+      pool.no_dial_until = 0;
+      for (auto& c : pool.connections) c->retiring_ = true;
     }
-    // Servers that have left are forgotten once nothing is out there, so that churn is bounded.
-    bool forget = list.whole && !pool.wanted && pool.connections.empty() &&
-                  std::none_of(list.hosts.begin(), list.hosts.end(),
-                               [&](const Host& h) { return h.server.id == pool.id; });
-    it = forget ? pools_.erase(it) : std::next(it);
+    pool.listed = !gone;
+    pool.wanted = host.server.health == robinseam::Health::Ready;
   }
+  for (auto& [id, pool] : pools_)
+    if (!pool->wanted)
+      for (auto& c : pool->connections) c->retiring_ = true;
+  sweep();
 }
 
 ServerConnection* ServerSide::dial(ServerPool& pool) {
@@ -339,59 +270,70 @@
 /// The connection for one more attempt: an idle one that was used last, else a new one, else the
 /// one with the least before it. Answers come in order, so waiting behind another costs its whole
 /// service time; a dial costs a round trip or two.
-ServerConnection* ServerSide::pick(ServerPool& pool, bool large) {
-  Micros now = clock_.now();
+ServerConnection* ServerSide::pick(ServerPool& pool) {
   while (true) {
     ServerConnection* idle = nullptr;
     for (auto& c : pool.connections)
       if (c->idle() && !c->retiring_ && (!idle || c->used_at_ > idle->used_at_)) idle = c.get();
     if (!idle) break;
-    if (now - idle->used_at_ < kPeekAfter || !idle->ended()) return idle;
+    // Looked at each time: what came behind the last answer, be it an end or bytes that nobody
+    // asked for, would be taken for the answer to this one.
+    if (!idle->ended()) return idle;
     close(*idle);
   }
-  bool may_dial = now >= pool.no_dial_until || pool.connections.empty();
-  auto room = [&] { return pool.connections.size() < limits_.per_server &&
-                           total_ < limits_.connections; };
-  if (may_dial && !room()) {
-    // One that only waits for answers nobody wants makes room.
-    for (auto& c : pool.connections)
-      if (c->forsaken()) {
-        close(*c);
-        break;
-      }
-  }
-  if (may_dial && room())
+  for (auto& c : pool.connections)  // dialled for a request that has ended since
+    if (c->connecting_ && c->entries_.empty() && !c->retiring_) return c.get();
+  bool may_dial = clock_.now() >= pool.no_dial_until || pool.connections.empty();
+  if (may_dial && make_room(pool))
     if (ServerConnection* c = dial(pool)) return c;
+  return least_loaded(pool);
+}
+
+ServerConnection* ServerSide::least_loaded(ServerPool& pool) const {
   ServerConnection* best = nullptr;
-  auto load = [](const ServerConnection& c) { return c.entries_.size(); };
-  if (!large)
-    for (auto& c : pool.connections)
-      if (!c->retiring_ && !c->has_large() && (c->entries_.empty() || c->entries_.front().live) &&
-          load(*c) < static_cast<std::size_t>(limits_.streams) && (!best || load(*c) < load(*best)))
-        best = c.get();
+  for (auto& c : pool.connections)
+    if (!c->closed_ && !c->retiring_ && (c->entries_.empty() || c->entries_.front().live) &&
+        c->entries_.size() < static_cast<std::size_t>(limits_.streams) &&
+        (!best || c->entries_.size() < best->entries_.size()))
+      best = c.get();
   return best;
 }
 
+bool ServerSide::make_room(ServerPool& pool) {
+  if (pool.connections.size() >= limits_.per_server) {
+    // One that only waits for answers nobody wants makes room.
+    auto at = std::find_if(pool.connections.begin(), pool.connections.end(),
+                           [](const auto& c) { return c->forsaken(); });
+    if (at == pool.connections.end()) return false;
+    close(**at);
+  }
+  if (total_ < limits_.connections) return true;
+  // Else the one that has stood unused for longest, whichever server it leads to: in a large fleet
+  // the servers of rare keys would keep those of popular ones from having any.
+  ServerConnection* unused = nullptr;
+  for (auto& [id, other] : pools_)
+    for (auto& c : other->connections)
+      if (!c->connecting_ && c->forsaken() && (!unused || c->used_at_ < unused->used_at_))
+        unused = c.get();
+  if (unused) close(*unused);
+  return unused != nullptr;
+}
+
 void ServerSide::send(const std::string& server, RequestId id, int attempt,
                       const Command& command, std::int64_t wait_ms) {
   auto at = pools_.find(server);
-  bool large = command.value && command.value->size() > kLargeValue;
-  ServerConnection* c = at == pools_.end() ? nullptr : pick(*at->second, large);
+  ServerConnection* c = at == pools_.end() ? nullptr : pick(*at->second);
   if (!c) {
     handler_.on_attempt_end(id, attempt, Status::ConnectFailed, Answer());
     return;
   }
-  ServerConnection::Entry e;
-  e.id = id;
-  e.attempt = attempt;
-  e.set = command.set;
-  e.answer_id = command.id;
-  e.line = command.line(wait_ms);
-  if (large)
-    e.value = command.value;
-  else if (command.value)
-    e.line += *command.value;
-  e.since = c->used_at_ = clock_.now();
+  ServerConnection::Entry e{.id = id,
+                            .attempt = attempt,
+                            .set = command.set,
+                            .answer_id = command.id,
+                            .bytes = command.wire(wait_ms),
+                            .since = clock_.now()};
+  c->used_at_ = e.since;
   c->entries_.push_back(std::move(e));
   touch(*c);
 }
@@ -409,9 +351,8 @@
         return Status::Moot;
       }
       // The answer is read and dropped when it comes. Closing would take neighbours along.
-      e.live = e.streaming = false;
+      e.live = false;
       e.since = clock_.now();
-      c.resume();
       if (k < c.sent_) return Status::Cancelled;
       // Partly written: finishing it would send the request after its end.
       close(c);
@@ -421,13 +362,6 @@
   return Status::Cancelled;
 }
 
-void ServerSide::resume(const std::string& server, RequestId id) {
-  auto at = pools_.find(server);
-  if (at == pools_.end()) return;
-  for (auto& c : at->second->connections)
-    if (c->paused_ && !c->entries_.empty() && c->entries_.front().id == id) c->resume();
-}
-
 void ServerSide::touch(ServerConnection& c) {
   if (c.dirty_ || c.closed_) return;
   c.dirty_ = true;
@@ -439,12 +373,9 @@
   c.closed_ = true;
   for (std::size_t k = 0; k < c.entries_.size(); ++k) {
     ServerConnection::Entry& e = c.entries_[k];
-    if (e.streaming) {
-      handler_.on_value_end(e.id, false);
-    } else if (e.live) {
+    if (e.live)
       handler_.on_attempt_end(e.id, e.attempt,
                               k < c.sent_ ? Status::Reset : Status::ConnectFailed, Answer());
-    }
   }
   c.entries_.clear();
   c.read_.reset();
@@ -466,15 +397,9 @@
   ServerPool& pool = c.pool_;
   close(c);
   for (ServerConnection::Entry& e : waiting) {
-    ServerConnection* other = nullptr;
-    for (auto& o : pool.connections)
-      if (!o->connecting_ && !o->retiring_ && !o->has_large() && !e.large() &&
-          (o->entries_.empty() || o->entries_.front().live) &&
-          o->entries_.size() < static_cast<std::size_t>(limits_.streams) &&
-          (!other || o->entries_.size() < other->entries_.size()))
-        other = o.get();
-    if (!other) {
-      if (e.live) handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, Answer());
+    ServerConnection* other = least_loaded(pool);
+    if (!other || other->connecting_) {
+      handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, Answer());
       continue;
     }
     other->entries_.push_back(std::move(e));
@@ -489,9 +414,10 @@
 void ServerSide::sweep() {
   Micros now = clock_.now();
   auto idle_limit = static_cast<Micros>(kIdlePart * static_cast<double>(limits_.keepalive));
-  for (auto& [id, pool] : pools_) {
-    for (std::size_t k = pool->connections.size(); k-- > 0;) {
-      ServerConnection& c = *pool->connections[k];
+  for (auto it = pools_.begin(); it != pools_.end();) {
+    ServerPool& pool = *it->second;
+    for (std::size_t k = pool.connections.size(); k-- > 0;) {
+      ServerConnection& c = *pool.connections[k];
       if (c.connecting_) continue;
       if (c.entries_.empty()) {
         if (c.retiring_ || now - c.used_at_ > idle_limit) close(c);
@@ -508,9 +434,12 @@
       if (c.entries_.empty()) continue;
       const ServerConnection::Entry& head = c.entries_.front();
       bool silent = !head.live && now - std::max(head.since, c.used_at_) > kAbandonTime;
-      bool stalled = head.streaming && !c.paused_ && now - c.used_at_ > kStallTime;
-      if (silent || stalled) close(c);
+      bool broke_off = c.reader_.in_answer() && now - c.read_at_ > kPartTime;
+      if (silent || broke_off) close(c);
     }
+    // A server that has left, whether a whole list or a change said so, leaves nothing behind once
+    // its last attempt has ended.
+    it = !pool.listed && pool.connections.empty() ? pools_.erase(it) : std::next(it);
   }
 }
 
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -28,14 +28,8 @@
    public:
     virtual ~Handler() = default;
     /// The attempt has ended; `answer` is what came, where `status` tells of one. Called once for
-    /// each attempt, unless it was cancelled or its value was streamed.
+    /// each attempt, unless it was cancelled.
     virtual void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) = 0;
-    /// A large value begins. False: it is not wanted and will be dropped as it comes.
-    virtual bool on_value_begin(RequestId id, int attempt, Answer&& head) = 0;
-    /// Only after on_value_begin returned true. on_value_data returns false to be given no more
-    /// until resume().
-    virtual bool on_value_data(RequestId id, std::string_view data) = 0;
-    virtual void on_value_end(RequestId id, bool whole) = 0;
   };
   struct Limits {
     std::size_t connections = 300;  ///< to all servers
@@ -57,18 +51,22 @@
             std::int64_t wait_ms);
   /// Gives an attempt up: Moot where nothing of it was sent whole, Cancelled where it may have run.
   Status cancel(const std::string& server, RequestId id, int attempt);
-  /// A streamed value may go on.
-  void resume(const std::string& server, RequestId id);
-
   void flush();
   bool dirty() const { return !dirty_.empty(); }
   std::size_t connections() const { return total_; }
+  /// Servers of which anything is kept.
+  std::size_t pools() const { return pools_.size(); }
 
  private:
   friend class ServerConnection;
   static void on_sweep(evutil_socket_t, short, void* self);
   void sweep();
-  ServerConnection* pick(ServerPool& pool, bool large);
+  ServerConnection* pick(ServerPool& pool);
+  /// The connection of the pool to write one more attempt behind others on; none where there is
+  /// no good one.
+  ServerConnection* least_loaded(ServerPool& pool) const;
+  /// Makes room for one more connection to `pool`'s server; false where all are in use.
+  bool make_room(ServerPool& pool);
   ServerConnection* dial(ServerPool& pool);
   void touch(ServerConnection& connection);
   /// Ends the connection; every attempt on it gets its outcome.
