--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,8 +45,9 @@
     EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
     event_add(term.get(), nullptr);
     event_add(interrupt.get(), nullptr);
-    std::fprintf(stderr, "arrowfork: %s listens on %s\n", config.name.c_str(),
-                 config.listen.c_str());
+    std::string host = config.listen.substr(0, config.listen.rfind(':'));
+    std::fprintf(stderr, "arrowfork: %s listens on %s:%u\n", config.name.c_str(), host.c_str(),
+                 static_cast<unsigned>(router.port()));
     router.run();
     return 0;
   } catch (const std::exception& e) {
--- a/src/net/io.cpp
+++ b/src/net/io.cpp
@@ -6,13 +6,14 @@
 
 namespace arrowfork {
 
-std::optional<sockaddr_in> parse_address(const std::string& text) {
+std::optional<sockaddr_in> parse_address(const std::string& text, bool to_listen) {
   std::size_t colon = text.rfind(':');
   if (colon == text.npos) return std::nullopt;
   unsigned port = 0;
   const char* end = text.data() + text.size();
   auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-  if (error != std::errc() || stop != end || port == 0 || port > 65535) return std::nullopt;
+  if (error != std::errc() || stop != end || port > 65535) return std::nullopt;
+  if (port == 0 && !to_listen) return std::nullopt;
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<std::uint16_t>(port));
--- a/src/net/io.hpp
+++ b/src/net/io.hpp
@@ -74,7 +74,8 @@
   Micros origin_;
 };
 
-/// The address of "1.2.3.4:5", or nothing where the text is none.
-std::optional<sockaddr_in> parse_address(const std::string& text);
+/// The address of "1.2.3.4:5", or nothing where the text is none. Port 0 stands for any free one and
+/// is an address to listen on only.
+std::optional<sockaddr_in> parse_address(const std::string& text, bool to_listen = false);
 
 }  // namespace arrowfork
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -95,7 +95,7 @@
 }
 
 bool Router::listen(std::string& error) {
-  auto address = parse_address(config_.listen);
+  auto address = parse_address(config_.listen, true);
   if (!address) {
     error = "no address: '" + config_.listen + "'";
     return false;
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -33,6 +33,8 @@
   void reload(const Config& config);
   std::uint16_t port() const { return clients_.port(); }
   std::size_t open_requests() const { return open_.size(); }
+  std::size_t client_connections() const { return clients_.connections(); }
+  std::size_t server_pools() const { return servers_.pools(); }
 
  private:
   struct Attempt {
--- /dev/null
+++ b/tests/client_side_test.cpp
@@ -0,0 +1,126 @@
+// Clients that misbehave, against the real router.
+#include "net_support.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+/// What can't be used gets an error and a close, and no cache server ever sees it.
+TEST(BadClients, AreTurnedAwayBeforeACacheServerSeesThem) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}});
+  const std::string long_line(kMaxLine + 10, 'x');
+  const std::vector<std::string> bad = {
+      "nonsense\r\n",
+      "mg\r\n",
+      "mg key\r\n",
+      "mg key v Pc=read,t=acme,d=100\r\n",
+      "mg key v O1\r\n",
+      "mg key v O1 Pc=none,t=acme,d=100\r\n",
+      "mg key v O1 Pc=read,t=nobody,d=100\r\n",
+      "mg key v O1 Pc=read,t=acme,d=soon\r\n",
+      "mg key v O1 Pc=read,t=acme,d=-1\r\n",
+      "mg key v O1 Pc=read,t=acme,d=nan\r\n",
+      "mg key v O1 Pc=read,t=acme,d=1e300\r\n",
+      "mg key v O1 Pc=read,t=acme\r\n",
+      "mg key v O1 O2 Pc=read,t=acme,d=100\r\n",
+      "mg key v q O1 Pc=read,t=acme,d=100\r\n",
+      "mg key v O1 Pc=read,c=put,t=acme,d=100\r\n",
+      "mg key\rmg k v O1 Pc=read,t=acme,d=100\r\n",
+      "mg " + std::string(kMaxKey + 1, 'k') + " v O1 Pc=read,t=acme,d=100\r\n",
+      "ms key -5 O1 Pc=put,t=acme,d=100,k=1\r\n",
+      "ms key 99999999999999999999 O1 Pc=put,t=acme,d=100,k=1\r\n",
+      "ms key 60000000 O1 Pc=put,t=acme,d=100,k=1\r\n",
+      "ms key 5 O1 Pc=put,t=acme,d=100\r\nhello\r\n",
+      "ms key 3 O1 Pc=put,t=acme,d=100,k=1\r\nhello\r\n",
+      "mg key v O1 Pc=put,t=acme,d=100\r\n",
+      long_line,
+  };
+  for (const std::string& text : bad) {
+    Client client(router.port());
+    client.send(text);
+    std::string said = client.read_all();
+    EXPECT_TRUE(client.ended()) << text;
+    EXPECT_TRUE(said.rfind("CLIENT_ERROR", 0) == 0 || said.rfind("ERROR", 0) == 0)
+        << text << " got " << said;
+  }
+  Client good(router.port());
+  good.send(read_command("a1"));
+  EXPECT_EQ(good.line(), "VA 5 Oa1");
+  for (const std::string& line : cache.lines()) EXPECT_NE(line.find(" Oa1 "), line.npos) << line;
+}
+
+/// The id of a request that is open elsewhere would make two answers look alike.
+TEST(BadClients, MayNotUseTheIdOfAnOpenRequest) {
+  std::atomic<bool> asked{false};
+  LineServer cache([&](const std::string& line, int) {
+    asked = true;
+    return line.find(" Oslow ") != line.npos ? std::string() : value_for(line);
+  });
+  RunningRouter router({.dials = {cache.address()}});
+  Client first(router.port()), second(router.port());
+  first.send(read_command("slow"));
+  ASSERT_TRUE(router.eventually([&](Router& r) { return r.open_requests() == 1 && asked; }));
+  second.send(read_command("slow"));
+  EXPECT_EQ(second.read_all(), "CLIENT_ERROR bad command\r\n");
+  first.send("");
+  EXPECT_EQ(first.line().rfind("SERVER_ERROR", 0), 0u);  // its own time is up, nothing else
+  Client later(router.port());  // and the id is free again
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 0; }));
+  later.send(read_command("slow", "k1", "50"));
+  EXPECT_EQ(later.line().rfind("SERVER_ERROR", 0), 0u);
+}
+
+/// Silent clients and half commands are closed, however many there are, and one that asked once
+/// and stays is closed too.
+TEST(BadClients, DoNotKeepTheirConnections) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}});
+  Client silent(router.port()), half(router.port()), value(router.port()), once(router.port());
+  half.send("mg key v O1 Pc=re");
+  value.send("ms key 500 O1 Pc=put,t=acme,d=100,k=1\r\nhello");
+  once.send(read_command("a1"));
+  EXPECT_EQ(once.line(), "VA 5 Oa1");
+  EXPECT_EQ(once.line(), "price");
+  for (Client* c : {&silent, &half, &value, &once}) {
+    EXPECT_EQ(c->read_all(), "");
+    EXPECT_TRUE(c->ended());
+  }
+  EXPECT_TRUE(router.eventually([](Router& r) { return r.client_connections() == 0; }));
+}
+
+TEST(BadClients, ACrowdDoesNotKeepOthersOut) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}, .sockets = 96});
+  std::vector<std::unique_ptr<Client>> crowd;
+  for (int k = 0; k < 200; ++k) {
+    crowd.push_back(std::make_unique<Client>(router.port()));
+    crowd.back()->send("mg half");
+  }
+  for (int k = 0; k < 10; ++k) {
+    Client good(router.port());
+    good.send(read_command("a" + std::to_string(k)));
+    EXPECT_EQ(good.line(), "VA 5 Oa" + std::to_string(k));
+  }
+}
+
+/// A client that sends without end is closed in bounded memory, while others are served.
+TEST(BadClients, SendingAtFullSpeedIsCutOff) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}});
+  Client flood(router.port());
+  std::thread sender([&] {
+    flood.send("ms key 60000000 O1 Pc=put,t=acme,d=100,k=1\r\n" + std::string(60'000'000, 'x'));
+  });
+  Client good(router.port());
+  for (int k = 0; k < 20; ++k) {
+    good.send(read_command("a" + std::to_string(k)));
+    EXPECT_EQ(good.line(), "VA 5 Oa" + std::to_string(k));
+    EXPECT_EQ(good.line(), "price");
+  }
+  sender.join();
+  flood.read_all();
+  EXPECT_TRUE(flood.ended());
+}
+
+}  // namespace
+}  // namespace arrowfork::test
--- /dev/null
+++ b/tests/net_support.hpp
@@ -0,0 +1,311 @@
+// A real router on loopback sockets for tests, and the peers that it talks to. Everything waits on
+// events; kPatience only bounds how long a broken build hangs.
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <future>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net/router.hpp"
+
+namespace arrowfork::test {
+
+constexpr int kPatienceMs = 30'000;
+
+inline sockaddr_in loopback(std::uint16_t port) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(port);
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return a;
+}
+
+inline std::string loopback_text(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+/// A blocking client.
+class Client {
+ public:
+  explicit Client(std::uint16_t port) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in a = loopback(port);
+    connected_ = ::connect(fd_.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) == 0;
+    timeval limit{kPatienceMs / 1000, 0};
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+  }
+  bool connected() const { return connected_; }
+  void send(const std::string& text) {
+    for (std::size_t at = 0; at < text.size();) {
+      ssize_t put = ::send(fd_.get(), text.data() + at, text.size() - at, MSG_NOSIGNAL);
+      if (put <= 0) return;  // the router has closed: what it said shows in read_all()
+      at += static_cast<std::size_t>(put);
+    }
+  }
+  /// One line without its end; what has come where the connection ends first.
+  std::string line() {
+    while (in_.find('\n') == in_.npos && more()) {
+    }
+    std::size_t end = in_.find('\n');
+    std::string text = in_.substr(0, end);
+    in_.erase(0, end == in_.npos ? end : end + 1);
+    if (!text.empty() && text.back() == '\r') text.pop_back();
+    return text;
+  }
+  /// All that comes until the connection ends; "(open)" at the end where it doesn't.
+  std::string read_all() {
+    while (more()) {
+    }
+    return ended_ ? in_ : in_ + "(open)";
+  }
+  bool ended() const { return ended_; }
+
+ private:
+  bool more() {
+    char bytes[4096];
+    ssize_t got = ::recv(fd_.get(), bytes, sizeof bytes, 0);
+    if (got <= 0) {
+      ended_ = got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+      return false;
+    }
+    in_.append(bytes, static_cast<std::size_t>(got));
+    return true;
+  }
+
+  Fd fd_;
+  std::string in_;
+  bool connected_ = false;
+  bool ended_ = false;
+};
+
+/// A server for tests: a thread that accepts, reads lines and answers each with what `reply` gives.
+class LineServer {
+ public:
+  /// Gets the line without its end and its number among all lines of this server.
+  using Reply = std::function<std::string(const std::string& line, int number)>;
+  explicit LineServer(Reply reply, bool close_after_reply = false)
+      : reply_(std::move(reply)),
+        close_after_reply_(close_after_reply),
+        listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in a = loopback(0);
+    ::bind(listener_.get(), reinterpret_cast<sockaddr*>(&a), sizeof a);
+    ::listen(listener_.get(), 64);
+    socklen_t size = sizeof a;
+    ::getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&a), &size);
+    port_ = ntohs(a.sin_port);
+    thread_ = std::thread([this] { serve(); });
+  }
+  ~LineServer() {
+    stop_ = true;
+    thread_.join();
+  }
+  std::uint16_t port() const { return port_; }
+  std::string address() const { return loopback_text(port_); }
+  std::vector<std::string> lines() const {
+    std::lock_guard lock(mutex_);
+    return lines_;
+  }
+  int connections() const { return accepted_; }
+
+ private:
+  void serve() {
+    std::map<int, std::pair<Fd, std::string>> open;
+    while (!stop_) {
+      std::vector<pollfd> polls{{listener_.get(), POLLIN, 0}};
+      for (auto& [fd, c] : open) polls.push_back({fd, POLLIN, 0});
+      ::poll(polls.data(), polls.size(), 10);
+      if (polls[0].revents) {
+        Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+        ++accepted_;
+        int key = fd.get();
+        open[key].first = std::move(fd);
+      }
+      for (std::size_t k = 1; k < polls.size(); ++k)
+        if (polls[k].revents && !read(polls[k].fd, open[polls[k].fd].second))
+          open.erase(polls[k].fd);
+    }
+  }
+  bool read(int fd, std::string& in) {
+    char bytes[4096];
+    ssize_t got = ::recv(fd, bytes, sizeof bytes, 0);
+    if (got <= 0) return false;
+    in.append(bytes, static_cast<std::size_t>(got));
+    for (std::size_t end; (end = in.find("\r\n")) != in.npos;) {
+      std::string line = in.substr(0, end);
+      in.erase(0, end + 2);
+      int number;
+      {
+        std::lock_guard lock(mutex_);
+        number = static_cast<int>(lines_.size());
+        lines_.push_back(line);
+      }
+      std::string text = reply_(line, number);
+      if (!text.empty()) ::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+      if (close_after_reply_ && !text.empty()) return false;
+    }
+    return true;
+  }
+
+  Reply reply_;
+  bool close_after_reply_;
+  Fd listener_;
+  std::uint16_t port_ = 0;
+  mutable std::mutex mutex_;
+  std::vector<std::string> lines_;
+  std::atomic<int> accepted_{0};
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+/// The id of a command's line, behind ` O`.
+inline std::string id_of(const std::string& line) {
+  std::size_t at = line.find(" O") + 2;
+  return line.substr(at, line.find(' ', at) - at);
+}
+
+inline std::string value_for(const std::string& line, const std::string& value = "price") {
+  return "VA " + std::to_string(value.size()) + " O" + id_of(line) + " h1\r\n" + value + "\r\n";
+}
+
+/// A price cache that answers every read with "price".
+inline std::string good_cache(const std::string& line, int) { return value_for(line); }
+
+inline std::string host_entry(const std::string& id, const std::string& dial,
+                              const std::string& health = "active") {
+  return R"({"host":")" + id + R"(","dial":")" + dial +
+         R"(","site":"a","class":"m","block":0,"health":")" + health +
+         R"(","share":1.0,"born_ms":0})";
+}
+
+inline std::string host_list(const std::string& seq, const std::vector<std::string>& entries,
+                             bool whole = true) {
+  std::string text = R"({"seq":)" + seq + R"(,"whole":)" + (whole ? "true" : "false") +
+                     R"(,"hosts":[)";
+  for (std::size_t k = 0; k < entries.size(); ++k) text += (k ? "," : "") + entries[k];
+  return text + "]}";
+}
+
+struct RouterOptions {
+  std::vector<std::string> dials;  ///< of the servers in `known`, s-0 and onward
+  std::string discovery = "127.0.0.1:1";
+  int sockets = 256;
+  int memory_mb = 32;
+  std::string deadline_us = "2000000", aim_us = "1000000";
+};
+
+inline std::string config_text(const RouterOptions& o) {
+  std::vector<std::string> entries;
+  for (std::size_t k = 0; k < o.dials.size(); ++k)
+    entries.push_back(host_entry("s-" + std::to_string(k), o.dials[k]));
+  auto one_class = [&](const std::string& name, const std::string& effect) {
+    return R"({"Name":")" + name + R"(","Effect":")" + effect +
+           R"(","Group":"all","KeyTtlUs":5000000,"ObjectiveUs":)" + o.aim_us +
+           R"(,"DeadlineUs":)" + o.deadline_us + R"(,"Worth":1})";
+  };
+  return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + o.discovery +
+         R"(","seed":"5","limits":{"memory_mb":)" + std::to_string(o.memory_mb) +
+         R"(,"sockets":)" + std::to_string(o.sockets) + R"(},"known":)" + host_list("1", entries) +
+         R"(,"settings":{"Balancers":2,"Az":"a","FailureDomains":["a"],"TickUs":1000,)" +
+         R"("MembershipMode":"automatic","Classes":[)" + one_class("read", "repeatable") + "," +
+         one_class("put", "by_key") +
+         R"(],"Tenants":[{"Name":"acme","Portion":1.0,"QuotaPerS":100000}],)" +
+         R"("Limits":{"MaxAttempts":5,"MayCancel":true,"SecondCopies":true},)" +
+         R"("Report":{"How":"inline","Fields":["load_share"]}}})";
+}
+
+/// A router in a thread of its own, which ends with the object.
+class RunningRouter {
+ public:
+  explicit RunningRouter(const RouterOptions& options)
+      : config_(parse_config(config_text(options))) {
+    if (::pipe2(wake_, O_CLOEXEC | O_NONBLOCK) != 0) std::abort();
+    std::promise<std::uint16_t> ready;
+    auto port = ready.get_future();
+    thread_ = std::thread([this, &ready] {
+      EventBasePtr base(event_base_new());
+      Router router(base.get(), config_);
+      router_ = &router;
+      std::string error;
+      EXPECT_TRUE(router.listen(error)) << error;
+      EventPtr wake(event_new(base.get(), wake_[0], EV_READ | EV_PERSIST, on_wake, this));
+      event_add(wake.get(), nullptr);
+      ready.set_value(router.port());
+      router.run();
+    });
+    port_ = port.get();
+  }
+  ~RunningRouter() {
+    post([](Router& r) { r.stop(); });
+    thread_.join();
+    ::close(wake_[0]);
+    ::close(wake_[1]);
+  }
+  std::uint16_t port() const { return port_; }
+  const Config& config() const { return config_; }
+
+  /// Runs `what` in the router's loop and waits for it.
+  void post(const std::function<void(Router&)>& what) {
+    std::promise<void> done;
+    std::function<void()> task = [&] {
+      what(*router_);
+      done.set_value();
+    };
+    {
+      std::lock_guard lock(mutex_);
+      tasks_.push_back(task);
+    }
+    EXPECT_EQ(::write(wake_[1], "x", 1), 1);
+    done.get_future().wait();
+  }
+  /// Waits until `holds` is true of the router.
+  bool eventually(const std::function<bool(Router&)>& holds) {
+    for (int k = 0; k < kPatienceMs / 20; ++k) {
+      bool yes = false;
+      post([&](Router& r) { yes = holds(r); });
+      if (yes) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+  }
+
+ private:
+  static void on_wake(evutil_socket_t fd, short, void* self) {
+    auto* r = static_cast<RunningRouter*>(self);
+    char bytes[64];
+    while (::read(fd, bytes, sizeof bytes) > 0) {
+    }
+    std::vector<std::function<void()>> tasks;
+    {
+      std::lock_guard lock(r->mutex_);
+      tasks.swap(r->tasks_);
+    }
+    for (auto& task : tasks) task();
+  }
+
+  Config config_;
+  int wake_[2];
+  Router* router_ = nullptr;
+  std::mutex mutex_;
+  std::vector<std::function<void()>> tasks_;
+  std::uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+inline std::string read_command(const std::string& id, const std::string& key = "k1",
+                                const std::string& d = "1500") {
+  return "mg " + key + " v O" + id + " Pc=read,t=acme,d=" + d + "\r\n";
+}
+
+}  // namespace arrowfork::test
--- /dev/null
+++ b/tests/server_side_test.cpp
@@ -0,0 +1,102 @@
+// Cache servers that misbehave, against the real router and its server side.
+#include "net_support.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+/// What comes behind a good answer must not be taken for the answer to the next request. There is
+/// one server only, so a spoilt second request could not be mended elsewhere.
+TEST(BadServers, WhatComesBehindAnAnswerSpoilsNothing) {
+  const std::vector<std::string> extras = {"VA 5 Oother h1\r\nwrong\r\n", "noise\r\n", "noi",
+                                           "VA 5 Oa", "VA 900 Oa1 h1\r\nxx"};
+  for (const std::string& extra : extras) {
+    LineServer cache([&](const std::string& line, int number) {
+      return value_for(line) + (number == 0 ? extra : "");
+    });
+    RunningRouter router({.dials = {cache.address()}});
+    Client client(router.port());
+    for (const char* id : {"a1", "a2"}) {
+      client.send(read_command(id));
+      EXPECT_EQ(client.line(), std::string("VA 5 O") + id) << extra;
+      EXPECT_EQ(client.line(), "price") << extra;
+    }
+  }
+}
+
+/// A spoilt answer is a failed attempt, whatever is wrong with it, also where the connection stays
+/// open and silent; the other server answers then. The deadline is far away: without a defence of
+/// its own the router would wait for it.
+TEST(BadServers, SpoiltAnswersAreFailedAttempts) {
+  const std::vector<std::string> spoilt = {
+      "\x01\x02\x03\r\n",     "VA five O%\r\nprice\r\n", "VA -1 O% h1\r\nprice\r\n",
+      "VA 3 O% h1\r\nprice\r\n", "VA 9 O% h1\r\nprice\r\n", "VA 3000000000 O% h1\r\nprice",
+      "VA 5 Oother h1\r\nprice\r\n", "VA 5 O% h1", "HD O% c1\r\n", "EN", std::string(5000, 'x')};
+  for (const std::string& text : spoilt) {
+    std::atomic<int> asked{0};
+    auto reply = [&](const std::string& line, int) {
+      if (asked++ > 0) return value_for(line);
+      std::string answer = text;
+      std::size_t at = answer.find('%');
+      return at == answer.npos ? answer : answer.replace(at, 1, id_of(line));
+    };
+    LineServer one(reply), two(reply);
+    RunningRouter router({.dials = {one.address(), two.address()},
+                          .deadline_us = "60000000",
+                          .aim_us = "50000000"});
+    Client client(router.port());
+    client.send(read_command("a1", "k1", "60000"));
+    EXPECT_EQ(client.line(), "VA 5 Oa1") << text;
+    EXPECT_EQ(client.line(), "price") << text;
+    EXPECT_EQ(asked, 2) << text;
+  }
+}
+
+/// A connection that the server has closed behind an answer is seen to be closed before it is used.
+TEST(BadServers, AClosedConnectionIsNotUsedAgain) {
+  LineServer cache(good_cache, /*close_after_reply=*/true);
+  RunningRouter router({.dials = {cache.address()}});
+  Client client(router.port());
+  for (int k = 0; k < 20; ++k) {
+    client.send(read_command("a" + std::to_string(k)));
+    EXPECT_EQ(client.line(), "VA 5 Oa" + std::to_string(k));
+    EXPECT_EQ(client.line(), "price");
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));  // the close follows the answer
+  }
+}
+
+/// A server that has left is forgotten, whether a change or a whole list says so.
+TEST(Servers, ThatHaveLeftLeaveNothingBehind) {
+  struct Ignore : ServerSide::Handler {
+    void on_attempt_end(RequestId, int, Status, Answer&&) override {}
+  } ignore;
+  EventBasePtr base(event_base_new());
+  Clock clock;
+  std::vector<robinseam::ReportField> fields;
+  ServerSide side(base.get(), clock, ignore, {}, &fields);
+  for (int k = 0; k < 50; ++k) {
+    std::string id = "s-" + std::to_string(k);
+    side.take_list(parse_host_list(host_list("2", {host_entry(id, "127.0.0.1:9")}, false)));
+    EXPECT_EQ(side.pools(), 1u);
+    side.take_list(parse_host_list(
+        k % 2 ? host_list("3", {host_entry(id, "127.0.0.1:9", "left")}, false)
+              : host_list("3", {}, true)));
+    EXPECT_EQ(side.pools(), 0u);
+  }
+}
+
+/// An unreadable report is no report: it must not pass for the report of an idle server.
+TEST(Answers, UnreadableReportsAreNone) {
+  std::vector<robinseam::ReportField> fields{robinseam::ReportField::Utilization};
+  for (const char* report : {"Lload_share=zz", "L", "Lload_share=1e300", "Lload_share=-4",
+                             "Lload_share=nan", "Lother=1"}) {
+    AnswerReader reader(&fields);
+    std::string text = std::string("VA 1 Oa h1 ") + report + "\r\nx\r\n";
+    std::string_view in = text;
+    Answer answer;
+    ASSERT_EQ(reader.take(in, answer), AnswerReader::Got::Answer) << report;
+    EXPECT_TRUE(answer.report.empty()) << report;
+  }
+}
+
+}  // namespace
+}  // namespace arrowfork::test
