Tell faults of single servers from load: they close no door and are tried elsewhere

Ruled out: errors, 'full', sockets (120 of 384), CPU.

Cause, all in rules.cpp: note_success cleared all doubt; note_stall weighed against the mean; finish() counted every unserved end as a sign of load; go_on() allowed no retry while any door was shut at all; kShedPrior and the growth of the doors. Now stalls are weighed like errors and resets, a server that stands out keeps part of its doubt, faults close no door and may be retried.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -82,13 +82,17 @@
 constexpr double kQuantile = 0.95;  // latency quantile that patience is built on
 constexpr double kPatienceFactor = 2.0;
 constexpr double kServerErrs = 0.9;  // doubt from which errors are laid at the server's door
+constexpr double kOwnFault = 0.25;  // failures per attempt from which they may be the server's own
+constexpr double kRelief = 0.5;     // of doubt, by one success of a server that stands out
 constexpr double kFutileErrors =
     0.1;  // errors per attempt at the better half past which none is retried
 // Admission: the shed level moves once per step by the part of answers that came too late or not at
 // all.
 constexpr Micros kShedStep = kSecond / 4;
 constexpr double kShedFade = 0.75;  // of the counts, per step
-constexpr double kShedPrior = 2;    // answers presumed good
+// Answers presumed good. A door nearly shut sees few ends: by the one in ten that is late on a good
+// day it stayed shut for a quarter of a minute with the servers idle.
+constexpr double kShedPrior = 6;
 constexpr double kShedBad = 0.2;
 // Per step, were all bad. Misses are cut fast, or the origin's queue, longer than clients wait,
 // never drains; hits slowly, as swings leave servers idle.
@@ -150,7 +154,7 @@
     bool present = false;  // on the current list and ready or draining
     int in_flight = 0;     // own attempts out
     int named = 0;         // attempts of open requests that name it, out or not
-    std::array<double, 2> failing = {0, 0};  // errors and resets per attempt, lately
+    std::array<double, 3> failing = {0, 0, 0};  // per attempt, lately: see Failing
     double doubt = 0;      // weight of recent failures
     Micros doubt_at = 0;
     int strikes = 0;  // times judged dead without a success between
@@ -166,6 +170,7 @@
     double cold_tokens = 0;
     Micros cold_at = 0;
   };
+  enum Failing { kErrors, kResets, kStalls };
   enum class Ran { Out, Maybe, Never };
   struct Attempt {
     int server;
@@ -225,7 +230,7 @@
   int total_in_flight = 0;
   // Failures per attempt over the whole fleet, lately.
   double errors = 0, late = 0, unreachable = 0, full = 0;
-  std::array<double, 2> usual_failing = {0, 0};  // see renew_usual()
+  std::array<double, 3> usual_failing = {0, 0, 0};  // see renew_usual()
   double retry_tokens = kRetryCap / 2, copy_tokens = kCopyCap / 2;
   struct Door {
     double shed = 0;
@@ -495,9 +500,14 @@
   }
 
   void note_success(ServerState& s) {
-    for (double& rate : s.failing) follow(rate, false, kOwnGain);
+    bool sick = false;
+    for (Failing kind : {kErrors, kResets, kStalls}) {
+      sick |= stands_out(s, kind);
+      follow(s.failing[kind], false, kOwnGain);
+    }
     if (s.returned_at > 0 && now - s.returned_at > kReturnRamp) s.returned_at = 0, s.strikes = 0;
-    s.doubt = 0;
+    // One that answers some requests and lets the others hang would never be left out otherwise.
+    s.doubt = sick ? std::max(0.0, s.doubt - kRelief) : 0;
   }
 
   /// A failure is evidence against the server only as far as it is unusual: when a stopped origin
@@ -517,17 +527,22 @@
     refreshed = -1;
   }
 
-  /// An error, or with `reset` a connection that broke under the request. What is usual is told by
-  /// the better half of the servers: an origin that fails or a path that spoils answers shows there
-  /// too, and then one server's failures tell next to nothing. By the mean of all, servers that
-  /// failed every request within milliseconds passed for usual as soon as they were many, kept their
-  /// keys and drew those of the others.
-  void note_broken(ServerState& s, bool reset) {
-    follow(s.failing[reset], true, kOwnGain);
-    note_failure(s, reset ? 1 : 0.5, usual_failing[reset]);
+  /// A failure that tells of the server. What is usual is told by the better half of the servers: an
+  /// origin that fails, a path that spoils answers and overload show there too, and then one
+  /// server's failures tell next to nothing. By the mean of all, servers that failed every request
+  /// within milliseconds passed for usual as soon as they were many, kept their keys and drew those
+  /// of the others.
+  void note_broken(ServerState& s, Failing kind, double weight) {
+    follow(s.failing[kind], true, kOwnGain);
+    note_failure(s, weight, usual_failing[kind]);
+  }
+
+  /// The server fails in this way far more often than the better half.
+  bool stands_out(const ServerState& s, Failing kind) const {
+    return s.failing[kind] > std::max(kOwnFault, 3 * usual_failing[kind]);
   }
 
-  /// The mean rate of the better half of the servers, for errors and for resets.
+  /// The mean rate of the better half of the servers, for each way to fail.
   void renew_usual() {
     for (std::size_t kind = 0; kind < usual_failing.size(); ++kind) {
       std::vector<double> rates;
@@ -544,7 +559,7 @@
   /// An attempt is out far longer than usual.
   void note_stall(ServerState& s, double weight) {
     follow(late, true);
-    note_failure(s, weight, late);
+    note_broken(s, kStalls, weight);
   }
 
   /// The part of its keys a server gives up for having been full. It returns with time alone: a
@@ -615,7 +630,9 @@
       double cut = held ? kAdmitCutHeld : kAdmitCut;
       double bad = d.bad / (d.good + d.bad + kShedPrior);
       double admitted =
-          (1 - d.shed) * (bad > kShedBad ? 1 - cut * bad : 1 + kAdmitGrow * (1 - bad / kShedBad));
+          (1 - d.shed) *
+          (bad > kShedBad ? 1 - cut * bad
+                          : 1 + kAdmitGrow * std::min(1.0, 2 * (1 - bad / kShedBad)));
       d.shed = 1 - std::clamp(admitted, kAdmitMin, 1.0);
       d.good *= kShedFade, d.bad *= kShedFade;
     }
@@ -712,10 +729,11 @@
     out.push_back(Timer{std::max<Micros>(after, 1), id << 2 | kind});
   }
 
-  void finish(Open& o) {
+  /// With `fault` it ends for a reason that tells nothing of load, so the doors don't count it.
+  void finish(Open& o, bool fault = false) {
     if (o.closed) return;
     o.closed = true;
-    if (!o.attempts.empty()) note_end(o, false, false);
+    if (!o.attempts.empty() && !fault) note_end(o, false, false);
     if (may_refuse(o))
       out.push_back(Refuse{o.request.id, set.retry_after ? set.max_retry_after / 4 : 0});
     else
@@ -806,24 +824,36 @@
     out.push_back(Send{o.request.id, s.listed.id, limit});
   }
 
+  /// A broken connection, or a failure of a server that stands out by it: the fault of one server or one connection. It is no sign of overload, so it closes no door, and
+  /// another server is worth a try also while requests are refused. It should cover spoilt answers,
+  /// crashes and servers that fail whatever they get; it hurts where servers that are overloaded
+  /// break connections instead of refusing.
+  bool is_fault(Status why, const ServerState& s) const {
+    if (why == Status::Error) return stands_out(s, kErrors);
+    if (why == Status::Timeout) return stands_out(s, kStalls);
+    return why == Status::Reset;
+  }
+
   void go_on(Open& o, Status why) {
     if (o.closed || any_out(o)) return;
-    double price = why == Status::Full || why == Status::ConnectFailed ? 0.25 : 1;
+    const ServerState& last = servers[o.attempts.back().server];
+    bool fault = is_fault(why, last);
+    bool cheap = why == Status::Full || why == Status::ConnectFailed;
+    double price = cheap ? 0.25 : fault ? 0.5 : 1;
     bool time_left = o.deadline - now > 2 * set.tick;
     if (why == Status::Miss && time_left && send(o)) return;  // no failure: no tokens
     // A fetch that failed ends in an error, and another server would only ask the origin once more:
     // what jams it. Errors are worth a retry where they come from one server and not from others.
-    const ServerState& last = servers[o.attempts.back().server];
-    bool futile =
-        why == Status::Error && (usual_failing[0] > kFutileErrors || last.doubt < kServerErrs);
+    bool futile = why == Status::Error && !fault &&
+                  (usual_failing[kErrors] > kFutileErrors || last.doubt < kServerErrs);
     // Nor anything while requests are refused: a retry would take the place of a first try. A
     // refused connection cost nobody.
-    futile |= why != Status::ConnectFailed && shedding();
+    futile |= why != Status::ConnectFailed && !fault && shedding();
     if (!futile && time_left && retry_tokens >= price) {
       retry_tokens -= price;
       if (send(o)) return;
     }
-    finish(o);
+    finish(o, fault);
   }
 
   // ---- list ----
@@ -853,7 +883,7 @@
     s.present = e.health != Health::Gone;
     if (restarted && s.present) {  // a new process: what was held against the old one is void
       s.doubt = 0, s.strikes = 0, s.dead_until = 0, s.returned_at = 0;
-      s.slow_log = 0, s.slow_seen = 0, s.load_live = 1, s.crowded = 0, s.failing = {0, 0};
+      s.slow_log = 0, s.slow_seen = 0, s.load_live = 1, s.crowded = 0, s.failing = {};
       s.cold_tokens = random(), s.cold_at = now;
     }
   }
@@ -1025,12 +1055,14 @@
       m.note_full(s);
       break;
     case Status::Timeout:
-      m.note_failure(s, 1, m.late);
+      m.note_broken(s, Impl::kStalls, 1);
       m.note_latency(s, o.cls, r.latency, false);
       break;
     case Status::Error:
+      m.note_broken(s, Impl::kErrors, 0.5);
+      break;
     case Status::Reset:
-      m.note_broken(s, r.status == Status::Reset);
+      m.note_broken(s, Impl::kResets, 1);
       break;
     case Status::ConnectFailed:
       m.note_failure(s, 1, m.unreachable);
@@ -1079,14 +1111,18 @@
   if (it == m.open.end() || it->second.closed) return {};
   Impl::Open& o = it->second;
   if (kind == kDeadlineTimer) {
-    for (const Impl::Attempt& a : o.attempts)
-      if (a.ran == Impl::Ran::Out && m.now - a.sent > m.patience(o))
-        m.note_stall(m.servers[a.server], 1);
-    m.finish(o);
+    bool fault = false;
+    for (const Impl::Attempt& a : o.attempts) {
+      if (a.ran != Impl::Ran::Out || m.now - a.sent <= m.patience(o)) continue;
+      fault |= m.stands_out(m.servers[a.server], Impl::kStalls);
+      m.note_stall(m.servers[a.server], 1);
+    }
+    m.finish(o, fault);
   } else if (kind == kCopyTimer && !o.attempts.empty() && o.attempts.back().ran == Impl::Ran::Out &&
              m.now - o.attempts.back().sent >= m.patience(o) / 2) {
-    m.note_stall(m.servers[o.attempts.back().server], 0.5);
-    if (m.copy_tokens >= 1 && !m.shedding()) {
+    Impl::ServerState& s = m.servers[o.attempts.back().server];
+    m.note_stall(s, 0.5);
+    if (m.copy_tokens >= 1 && (!m.shedding() || m.stands_out(s, Impl::kStalls))) {
       m.copy_tokens -= 1;
       m.send(o);
     }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -268,6 +268,32 @@
   EXPECT_LT(failed, 25);  // of a thousand requests; 47 by the mean of all servers
 }
 
+/// A server that answers every second request and lets the others hang is left out: a success now
+/// and then must not clear it.
+TEST(Health, AServerThatHangsHalfTheTimeIsLeftOut) {
+  Settings set = basic_settings();
+  set.second_copies = false;
+  Balancer b(set, 7, 0);
+  auto list = fleet(4);
+  b.on_list(0, ListScope::Full, list);
+  Micros now = 0;
+  int hung = 0, got = 0;
+  for (RequestId id = 0; id < 3000; ++id, now += 10 * kMs) {
+    Actions actions = b.on_request(now, read_of(id, "k" + std::to_string(id % 200)));
+    std::string server = sent_to(actions);
+    bool hangs = server == list[0].id && ++got % 2 == 0;
+    for (int attempt = 0; hangs; ++attempt) {
+      hung += id >= 1000;
+      server = sent_to(b.on_outcome(now, ended(id, server, Status::Timeout, attempt, 400 * kMs)));
+      hangs = server == list[0].id;
+      if (!server.empty() && !hangs)
+        b.on_outcome(now, ended(id, server, Status::Ok, attempt + 1));
+    }
+    if (!server.empty()) b.on_outcome(now, ended(id, server, Status::Ok));
+  }
+  EXPECT_LT(hung, 15);  // 32 where each success clears all doubt
+}
+
 /// Ids that are ever new leave nothing behind.
 TEST(Health, ServersThatHaveLeftAreForgotten) {
   Balancer b(basic_settings(), 7, 0);
