--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -142,6 +142,7 @@
 void Router::fail_all() {
   for (auto& [id, open] : open_)
     if (!open.answered) give_answer(open, kFailed);
+  clients_.flush();
 }
 
 void Router::reload(const Config& config) {
