Ends of requests that came with little time left close no door

Ruled out: errors, 'full' (none after 9 s), stalls (two attempts out at a time), sockets.

Cause: on_timer() in rules.cpp counted each request that ended unserved at its deadline as a sign of overload, also retries that clients send with a few milliseconds left. They shut the doors, which brought on more retries. Now one that came with less time than its aim is left out of account.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1111,7 +1111,9 @@
   if (it == m.open.end() || it->second.closed) return {};
   Impl::Open& o = it->second;
   if (kind == kDeadlineTimer) {
-    bool fault = false;
+    // Nor does the end of one that came with less time than its aim tell of load: a client's last
+    // retries. They ended unserved on idle servers, shut the doors, and brought on more retries.
+    bool fault = o.deadline - o.came < m.set.classes[o.cls].aim;
     for (const Impl::Attempt& a : o.attempts) {
       if (a.ran != Impl::Ran::Out || m.now - a.sent <= m.patience(o)) continue;
       fault |= m.stands_out(m.servers[a.server], Impl::kStalls);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -406,6 +406,26 @@
 }
 
 // ---- attempts ----
+/// A client's last retries come with too little time for any server: their ends tell nothing of load.
+TEST(Admission, RequestsWithLittleTimeLeftCloseNoDoor) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  Micros now = 0;
+  RequestId id = 0;
+  for (; id < 400; ++id) {
+    Actions actions = b.on_request(now, read_of(id, "k" + std::to_string(id % 50), 20 * kMs));
+    std::string server = sent_to(actions);
+    now += 20 * kMs;
+    for (const Timer& t : all<Timer>(actions))
+      for (const Cancel& c : all<Cancel>(b.on_timer(now, t.token)))
+        b.on_outcome(now, ended(id, server, Status::Cancelled, c.attempt));
+  }
+  int refused = 0;
+  for (; id < 500; ++id, now += 10 * kMs)
+    refused += serve(b, now, id, "k" + std::to_string(id % 50)).empty();
+  EXPECT_EQ(refused, 0);
+}
+
 TEST(Attempts, EmptyListRefusesAtOnce) {
   Balancer b(basic_settings(), 7, 0);
   Actions a = b.on_request(0, read_of(1, "k"));
