Tell servers that an attempt is given up: close its connection where nobody else waits on it

Cause: ServerSide::cancel() only marked the entry of an attempt that was given up and read its answer later; PROTOCOL knows no other sign than the end of the connection, so servers worked on for clients that had left. The test looks at the connection itself and fails without the change (1 open, expected 0); a second one holds that neighbours on the connection stay.

--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -359,10 +359,17 @@
         c.entries_.erase(c.entries_.begin() + static_cast<std::ptrdiff_t>(k));
         return Status::Moot;
       }
-      // The answer is read and dropped when it comes. Closing would take neighbours along.
       e.live = false;
       e.since = clock_.now();
-      if (k < c.sent_) return Status::Cancelled;
+      if (k < c.sent_) {
+        // Only an end of the connection tells the server that nobody waits any more, so that it may
+        // drop what it has not begun. Where many clients leave early, what they left behind filled
+        // the servers. It costs a new connection, some milliseconds of the server's work, for
+        // nothing where servers go on with waiting work. Neighbours are not taken along: then the
+        // answer is read and dropped when it comes.
+        if (c.forsaken()) close(c);
+        return Status::Cancelled;
+      }
       // Partly written: finishing it would send the request after its end.
       close(c);
       return Status::Moot;
--- a/tests/server_side_test.cpp
+++ b/tests/server_side_test.cpp
@@ -84,6 +84,72 @@
   }
 }
 
+/// A server side in a loop of the test's own; counts what it is told.
+struct Driven : ServerSide::Handler {
+  explicit Driven(const LineServer& cache, std::size_t per_server) {
+    ServerSide::Limits limits;
+    limits.per_server = per_server;
+    side = std::make_unique<ServerSide>(base.get(), clock, *this, limits, &fields);
+    side->take_list(parse_host_list(host_list("2", {host_entry("s-0", cache.address())})));
+  }
+  void on_attempt_end(RequestId id, int, Status status, Answer&&) override { ended[id] = status; }
+  void send(RequestId id) {
+    CommandReader reader;
+    std::string text = read_command("a" + std::to_string(id));
+    std::string_view in = text;
+    Command command;
+    ASSERT_EQ(reader.take(in, command), CommandReader::Got::Command);
+    side->send("s-0", id, 0, command, 60'000);
+  }
+  bool eventually(const std::function<bool()>& holds) {
+    for (int k = 0; k < kPatienceMs; ++k) {
+      side->flush();
+      event_base_loop(base.get(), EVLOOP_NONBLOCK);
+      if (holds()) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return false;
+  }
+
+  EventBasePtr base{event_base_new()};
+  Clock clock;
+  std::vector<robinseam::ReportField> fields;
+  std::map<RequestId, Status> ended;
+  std::unique_ptr<ServerSide> side;
+};
+
+/// Protects against: servers at work for clients that have left, as nothing told them of it.
+TEST(Attempts, GivingOneUpEndsAConnectionOfItsOwnAtOnce) {
+  LineServer cache([](const std::string&, int) { return std::string(); });  // never answers
+  Driven driven(cache, 8);
+  driven.send(1);
+  ASSERT_TRUE(driven.eventually([&] { return cache.lines().size() == 1; }));
+  EXPECT_EQ(driven.side->cancel("s-0", 1, 0), Status::Cancelled);  // it may have run
+  EXPECT_EQ(driven.side->connections(), 0u);
+  EXPECT_TRUE(driven.ended.empty());  // a cancelled attempt is told of no more
+}
+
+/// Nor is a neighbour on the same connection taken along.
+TEST(Attempts, GivingOneUpLeavesItsNeighboursAlone) {
+  std::atomic<bool> answer{false};
+  LineServer cache([&](const std::string& line, int) {
+    if (id_of(line) != "a2") return std::string();
+    while (!answer) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    std::string first = "mg k1 v Oa1";
+    return value_for(first) + value_for(line);
+  });
+  Driven driven(cache, 1);
+  driven.send(1);
+  driven.send(2);
+  ASSERT_TRUE(driven.eventually([&] { return cache.lines().size() == 2; }));
+  EXPECT_EQ(driven.side->cancel("s-0", 1, 0), Status::Cancelled);
+  EXPECT_EQ(driven.side->connections(), 1u);
+  answer = true;
+  ASSERT_TRUE(driven.eventually([&] { return driven.ended.count(2) == 1; }));
+  EXPECT_EQ(driven.ended[2], Status::Ok);
+  EXPECT_EQ(driven.ended.count(1), 0u);
+}
+
 /// An unreadable report is no report: it must not pass for the report of an idle server.
 TEST(Answers, UnreadableReportsAreNone) {
   std::vector<robinseam::ReportField> fields{robinseam::ReportField::Utilization};
