A client's close ends its attempts on the sockets, not only in the module

Cause: router.cpp took a client's close for the end of its sending side alone: on_left() told the module that the client had gone, and act(Cancel) then kept the attempt running (the 'left' state), up to its deadline. The module counted the server as free of it and sent it more. PROTOCOL: a client that closes has gone away. Now the attempt is given up on its connection and the request gets its final answer at once, which only a client that ended its sending alone still reads. The new test fails on the old sources: the attempt stays out until its deadline.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -134,8 +134,8 @@
     spoken_ = true;
   }
 
-  /// A half-close looks like a close. What was taken is still answered: a client that is really
-  /// gone only makes the write fail.
+  /// A half-close looks like a close: the handler is told, and what it answers is written. A client
+  /// that is really gone only makes the write fail.
   void end_of_input() {
     eof_ = true;
     std::string().swap(held_);
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -199,12 +199,14 @@
   events_.push_back(RequestEvent{id});
 }
 
-/// A client that sends no more may still read. The module is told that it has left, so that nothing
-/// new is sent for it, but what is out is waited for and its answer given.
+/// A client that closes has gone away (PROTOCOL), and from here its close looks like one of its
+/// sending side alone. Its attempts are given up at once: where clients leave early and ask again,
+/// what they left behind ran on unseen by the module and filled the servers. One that still reads
+/// gets its final answer now; it hurts clients that end their sending before they have read.
 void Router::on_left(RequestId id) {
   auto it = open_.find(id);
-  if (it == open_.end() || it->second.left) return;
-  it->second.left = true;
+  if (it == open_.end() || it->second.answered) return;
+  give_answer(it->second, kFailed);
   tell_gone(id, it->second);
 }
 
@@ -214,7 +216,7 @@
   Open& open = it->second;
   open.slot = nullptr;
   open.answered = true;
-  if (!open.left) tell_gone(id, open);
+  tell_gone(id, open);
 }
 
 void Router::tell_gone(RequestId id, Open& open) {
@@ -229,7 +231,6 @@
   if (it == open_.end()) return;
   Open& open = it->second;
   Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
-  a.on_wire = false;
   if (status == Status::Miss && !config_.settings.aside) status = Status::Error;
   if (status == Status::Ok && !open.answered) {
     std::string text;
@@ -244,10 +245,6 @@
     give_answer(open, std::move(text));
   }
   if (a.out) tell_outcome(id, open, attempt, status, &answer);
-  if (open.left && !open.answered &&
-      std::none_of(open.attempts.begin(), open.attempts.end(),
-                   [](const Attempt& one) { return one.on_wire; }))
-    give_answer(open, kFailed);
   forget_if_done(id);
 }
 
@@ -307,7 +304,6 @@
     Attempt& a = open.attempts[k];
     if (!a.out || (attempt >= 0 && static_cast<int>(k) != attempt)) continue;
     Status status = servers_.cancel(a.server, id, static_cast<int>(k));
-    a.on_wire = false;
     tell_outcome(id, open, static_cast<int>(k),
                  status == Status::Moot ? Status::ConnectFailed : Status::Timeout, nullptr);
   }
@@ -350,8 +346,7 @@
       if (it == open_.end()) continue;
       Open& open = it->second;
       --open.untold;
-      if (open.answered || open.left) {  // gone before the module heard of it
-        if (!open.answered) give_answer(open, kFailed);
+      if (open.answered) {  // gone before the module heard of it
         forget_if_done(e->id);
         continue;
       }
@@ -391,8 +386,7 @@
   Micros now = clock_.now();
   open.attempts.push_back({a.server, now});
   // An answer may have come while the module did not know of it yet.
-  if (open.answered || open.left || now >= open.deadline) {
-    open.attempts.back().on_wire = false;
+  if (open.answered || now >= open.deadline) {
     tell_outcome(a.id, open, attempt, Status::Moot, nullptr);
     return;
   }
@@ -428,13 +422,7 @@
   Open& open = it->second;
   Attempt& one = open.attempts[static_cast<std::size_t>(a.attempt)];
   if (!one.out) return;
-  Status status = Status::Cancelled;
-  // For a client that has left but may still read, what is out goes on.
-  if (!open.left || open.answered) {
-    status = servers_.cancel(one.server, a.id, a.attempt);
-    one.on_wire = false;
-  }
-  tell_outcome(a.id, open, a.attempt, status, nullptr);
+  tell_outcome(a.id, open, a.attempt, servers_.cancel(one.server, a.id, a.attempt), nullptr);
 }
 
 void Router::act(const robinseam::Timer& a) {
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -35,13 +35,13 @@
   std::size_t open_requests() const { return open_.size(); }
   std::size_t client_connections() const { return clients_.connections(); }
   std::size_t server_pools() const { return servers_.pools(); }
+  std::size_t server_connections() const { return servers_.connections(); }
 
  private:
   struct Attempt {
     std::string server;
     Micros sent = 0;
-    bool out = true;       // its outcome has not been told to the module
-    bool on_wire = true;   // its connection still owes it an end
+    bool out = true;  // its outcome has not been told to the module
   };
   struct Open {
     explicit Open(Command&& c) : command(std::move(c)) {}
@@ -49,7 +49,6 @@
     Command command;
     Micros deadline = 0;
     bool answered = false;   // the final answer is given, or nobody is left to get one
-    bool left = false;       // the client sends no more: nothing new is sent for it
     int untold = 0;          // events of it on their way to the module
     std::vector<Attempt> attempts;
   };
--- a/tests/net_support.hpp
+++ b/tests/net_support.hpp
@@ -71,6 +71,8 @@
     return ended_ ? in_ : in_ + "(open)";
   }
   bool ended() const { return ended_; }
+  /// Ends the sending side alone.
+  void end_sending() { ::shutdown(fd_.get(), SHUT_WR); }
 
  private:
   bool more() {
--- a/tests/server_side_test.cpp
+++ b/tests/server_side_test.cpp
@@ -150,6 +150,28 @@
   EXPECT_EQ(driven.ended.count(1), 0u);
 }
 
+/// Protects against: attempts that ran on for clients that had closed, unseen by the module, up to
+/// the deadline. One that still reads gets its final answer.
+TEST(Attempts, OfAClientThatClosesAreGivenUpAtOnce) {
+  for (bool reads : {false, true}) {
+    LineServer cache([](const std::string&, int) { return std::string(); });  // never answers
+    RunningRouter router(
+        {.dials = {cache.address()}, .deadline_us = "90000000", .aim_us = "80000000"});
+    auto client = std::make_unique<Client>(router.port());
+    client->send(read_command("a1", "k1", "90000"));
+    ASSERT_TRUE(router.eventually([&](Router&) { return cache.lines().size() == 1; }));
+    if (reads) {
+      client->end_sending();
+      EXPECT_EQ(client->read_all(), "SERVER_ERROR failed\r\n");
+    } else {
+      client.reset();
+    }
+    EXPECT_TRUE(router.eventually(
+        [](Router& r) { return r.open_requests() == 0 && r.server_connections() == 0; }));
+    EXPECT_EQ(cache.lines().size(), 1u);
+  }
+}
+
 /// An unreadable report is no report: it must not pass for the report of an idle server.
 TEST(Answers, UnreadableReportsAreNone) {
   std::vector<robinseam::ReportField> fields{robinseam::ReportField::Utilization};
