What no server has begun leaves its key held; doors open by steps as well

Cause: note_end() in rules.cpp marked a key as not held for every unserved end, also where its request was refused as full and no server had looked at it. And step_shed() grew what is admitted by parts only, from 3% a matter of many seconds. Now only an end that a server may have begun tells of the key, and a door also opens by a twentieth a step. The loopback test fails without the change of note_end().

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -100,6 +100,7 @@
 constexpr double kAdmitCutHeld = 0.1;
 constexpr int kWantedSeen = 3;       // a key seen this often lately is likely held
 constexpr double kAdmitGrow = 0.25;  // of what is admitted, per step, when nothing ends badly
+constexpr double kAdmitStep = 0.05;  // and this much: by parts alone a door nearly shut stays so
 constexpr double kAdmitMin = 0.03;
 constexpr double kShedLeast = 0.4;  // the most and least worthy are refused at these multiples
 constexpr double kShedMost = 1.4;
@@ -391,12 +392,15 @@
     o.held = it->second.held && !o.request.write;
   }
 
-  /// How an admitted request ended.
+  /// How an admitted request ended. One that no server has begun tells nothing of who holds its key:
+  /// counted as not held, the keys of a burst were refused by the door of fetches, each of its
+  /// client's further tries too, and so never came to be held again while servers stood idle.
   void note_end(const Open& o, bool answered, bool in_time) {
     Door& d = doors[o.held];
     ++(in_time ? d.good : d.bad);
     auto it = counts[0].find(o.name);
-    if (it != counts[0].end()) it->second.held = answered && !o.request.write;
+    if (it != counts[0].end() && (answered || may_have_run(o)))
+      it->second.held = answered && !o.request.write;
   }
 
   /// Whether a copy of the key in the own zone would pay.
@@ -629,10 +633,9 @@
       Door& d = doors[held];
       double cut = held ? kAdmitCutHeld : kAdmitCut;
       double bad = d.bad / (d.good + d.bad + kShedPrior);
-      double admitted =
-          (1 - d.shed) *
-          (bad > kShedBad ? 1 - cut * bad
-                          : 1 + kAdmitGrow * std::min(1.0, 2 * (1 - bad / kShedBad)));
+      double grow = bad > kShedBad ? 0 : std::min(1.0, 2 * (1 - bad / kShedBad));
+      double admitted = (1 - d.shed) * (1 + (grow > 0 ? kAdmitGrow * grow : -cut * bad)) +
+                        kAdmitStep * grow;
       d.shed = 1 - std::clamp(admitted, kAdmitMin, 1.0);
       d.good *= kShedFade, d.bad *= kShedFade;
     }
--- a/tests/server_side_test.cpp
+++ b/tests/server_side_test.cpp
@@ -172,6 +172,47 @@
   }
 }
 
+/// Protects against: keys that count as not held since a server was once too full for them, and are
+/// refused at the door of fetches from then on, though the server holds them.
+TEST(Admission, AHeldKeyThatMetAFullServerStaysHeld) {
+  std::atomic<bool> full{false};
+  LineServer cache([&](const std::string& line, int) {
+    if (line.rfind("mg held", 0) != 0) return std::string("SERVER_ERROR failed\r\n");
+    if (full && line.rfind("mg held0", 0) == 0) return std::string("SERVER_ERROR busy\r\n");
+    return value_for(line);
+  });
+  RunningRouter router({.dials = {cache.address()}});
+  Client client(router.port());
+  int ids = 0;
+  auto served = [&](const std::string& key) {
+    client.send(read_command("a" + std::to_string(++ids), key));
+    if (client.line().rfind("VA ", 0) != 0) return false;
+    client.line();
+    return true;
+  };
+  // Fetches fail until nearly all are refused unseen; held keys are served all the while.
+  int unseen = 0;
+  for (int k = 0; k < 20'000 && unseen < 30; ++k) {
+    std::size_t before = cache.lines().size();
+    served("other" + std::to_string(k));
+    unseen = cache.lines().size() == before ? unseen + 1 : 0;
+    for (int n = 0; n < 2; ++n) served("held" + std::to_string((2 * k + n) % 20));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  ASSERT_EQ(unseen, 30);
+  full = true;
+  const std::vector<std::string> keys = {"held0", "held0a", "held0b", "held0c", "held0d", "held0e"};
+  full = false;
+  for (const std::string& key : keys)
+    while (!served(key)) std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  full = true;
+  for (const std::string& key : keys) EXPECT_FALSE(served(key));
+  full = false;
+  int again = 0;
+  for (const std::string& key : keys) again += served(key);
+  EXPECT_GE(again, 5);
+}
+
 /// An unreadable report is no report: it must not pass for the report of an idle server.
 TEST(Answers, UnreadableReportsAreNone) {
   std::vector<robinseam::ReportField> fields{robinseam::ReportField::Utilization};
