--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -136,7 +136,7 @@
   Timeout,        ///< may have run or be running
   ConnectFailed,  ///< never ran
   Reset,          ///< may have run
-  Stale,          ///< a reset of a connection kept from earlier, with nothing of the answer: likewise
+  Stale,          ///< a kept connection broke with nothing of the answer: may have run
   Cancelled,      ///< may have run
   Moot,           ///< never sent
   Miss,           ///< aside mode: nothing held there for the key
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -393,9 +393,9 @@
     o.held = it->second.held && !o.request.write;
   }
 
-  /// How an admitted request ended. One that no server has begun tells nothing of who holds its key:
-  /// counted as not held, the keys of a burst were refused by the door of fetches, each of its
-  /// client's further tries too, and so never came to be held again while servers stood idle.
+  /// How an admitted request ended. One that no server has begun tells nothing of who holds its
+  /// key: counted as not held, the keys of a burst were refused by the door of fetches, each of
+  /// their clients' further tries too, and never came to be held again while servers stood idle.
   void note_end(const Open& o, bool answered, bool in_time) {
     Door& d = doors[o.held];
     ++(in_time ? d.good : d.bad);
