One name and a folder for each package: violetusher, with programs named after it

The tree spoke of violetusher, robinseam and arrowfork, and sources lay by history. Now the layout is policy, protocol, net, daemon and drill, tests mirror it, the CMake options are VIOLETUSHER_*, and the daemon and the adapter are build/violetusher and build/violetusher_drill. The settings' reader moves from the adapter to protocol, so that net no longer includes drill. No behaviour changes.

--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -1,9 +1,9 @@
 // The smallest router around a Balancer: events go in with the time, actions come out.
 #include <cstdio>
-#include <robinseam/balancer.hpp>
+#include <violetusher/balancer.hpp>
 
 int main() {
-  using namespace robinseam;
+  using namespace violetusher;
   Settings settings;
   ClassSettings page;
   page.name = "page";
--- a/include/robinseam/balancer.hpp
+++ b/include/violetusher/balancer.hpp
@@ -1,4 +1,4 @@
-// robinseam: the decisions of a router in front of a fleet of cache servers.
+// violetusher: the decisions of a router in front of a fleet of cache servers.
 //
 // One Balancer decides for one router. It does no I/O, reads no clock, starts no thread and keeps
 // no global state: the router reports events with the time they happened, and each call returns the
@@ -17,7 +17,7 @@
 #include <variant>
 #include <vector>
 
-namespace robinseam {
+namespace violetusher {
 
 using Micros = std::int64_t;
 using RequestId = std::uint64_t;
@@ -225,4 +225,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace robinseam
+}  // namespace violetusher
--- a/src/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,21 +1,21 @@
-// arrowfork: one router. Reads what it is told, starts, and ends on SIGTERM. SIGHUP makes it
+// violetusher: one router. Reads what it is told, starts, and ends on SIGTERM. SIGHUP makes it
 // read its configuration again.
 #include <csignal>
 #include <cstdio>
 
-#include "net/router.hpp"
+#include "../net/router.hpp"
 
 namespace {
 
 int complain(const std::string& what) {
-  std::fprintf(stderr, "arrowfork: %s\n", what.c_str());
+  std::fprintf(stderr, "violetusher: %s\n", what.c_str());
   return 1;
 }
 
 }  // namespace
 
 int main() {
-  using namespace arrowfork;
+  using namespace violetusher::net;
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
   try {
@@ -46,7 +46,7 @@
     event_add(term.get(), nullptr);
     event_add(interrupt.get(), nullptr);
     std::string host = config.listen.substr(0, config.listen.rfind(':'));
-    std::fprintf(stderr, "arrowfork: %s listens on %s:%u\n", config.name.c_str(), host.c_str(),
+    std::fprintf(stderr, "violetusher: %s listens on %s:%u\n", config.name.c_str(), host.c_str(),
                  static_cast<unsigned>(router.port()));
     router.run();
     return 0;
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -7,7 +7,7 @@
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  robinseam::drill::Adapter adapter;
+  violetusher::drill::Adapter adapter;
   std::string line;
   std::uint64_t number = 0;
   try {
@@ -17,9 +17,9 @@
       std::string reply = adapter.take(line);
       if (!reply.empty()) std::cout << reply << std::flush;
     }
-    if (adapter.in_batch()) throw robinseam::drill::WireError("input ends inside a batch");
+    if (adapter.in_batch()) throw violetusher::protocol::WireError("input ends inside a batch");
   } catch (const std::exception& e) {
-    std::cerr << "robinseam_drill: line " << number << ": " << e.what() << '\n';
+    std::cerr << "violetusher_drill: line " << number << ": " << e.what() << '\n';
     return 1;
   }
   return 0;
--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -1,6 +1,16 @@
 #include "wire.hpp"
 
-namespace robinseam::drill {
+namespace violetusher::drill {
+
+using protocol::bad;
+using protocol::in_range;
+using protocol::settings_of;
+using protocol::split;
+using protocol::to_flag;
+using protocol::to_integer;
+using protocol::to_number;
+using protocol::word;
+using protocol::Words;
 namespace {
 
 constexpr Words<Status, 9> kStatus{{{"completed", Status::Ok},
@@ -232,4 +242,4 @@
   }
 }
 
-}  // namespace robinseam::drill
+}  // namespace violetusher::drill
--- a/src/drill/wire.hpp
+++ b/src/drill/wire.hpp
@@ -8,10 +8,13 @@
 #include <string_view>
 #include <vector>
 
-#include "robinseam/balancer.hpp"
-#include "settings.hpp"
+#include "violetusher/balancer.hpp"
+#include "../protocol/settings.hpp"
 
-namespace robinseam::drill {
+namespace violetusher::drill {
+
+using protocol::SettingPairs;
+using protocol::WireError;
 
 /// One line: its message name and its name=value pairs in order.
 class Line {
@@ -65,4 +68,4 @@
   std::vector<Server> entries_;
 };
 
-}  // namespace robinseam::drill
+}  // namespace violetusher::drill
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -6,7 +6,7 @@
 #include <cerrno>
 #include <cstring>
 
-namespace arrowfork {
+namespace violetusher::net {
 namespace {
 
 // Read at once from one connection, so that a client that sends at full speed has no larger part of
@@ -454,4 +454,4 @@
   }
 }
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -8,11 +8,13 @@
 #include <vector>
 
 #include "io.hpp"
-#include "memcache.hpp"
+#include "../protocol/meta.hpp"
 
-namespace arrowfork {
+namespace violetusher::net {
 
-using robinseam::RequestId;
+using protocol::Command;
+using protocol::CommandReader;
+using violetusher::RequestId;
 
 class ClientConnection;
 
@@ -96,4 +98,4 @@
   std::unique_ptr<char[]> scratch_;
 };
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-namespace arrowfork {
+namespace violetusher::net {
 namespace {
 
 using Json = nlohmann::json;
@@ -54,18 +54,18 @@
   h.server.cell = static_cast<std::int64_t>(std::clamp(figure("block", -1), -1.0, 1e15));
   std::string health = text("health");
   if (health == "active")
-    h.server.health = robinseam::Health::Ready;
+    h.server.health = violetusher::Health::Ready;
   else if (health == "leaving")
-    h.server.health = robinseam::Health::Draining;
+    h.server.health = violetusher::Health::Draining;
   else if (health == "left")
-    h.server.health = robinseam::Health::Gone;
+    h.server.health = violetusher::Health::Gone;
   else
     throw ConfigError("hosts: health '" + health + "'");
   h.server.weight = figure("share", 1);
   // Unix time, and the router's clock has its origin there.
-  h.server.up_since = static_cast<robinseam::Micros>(std::clamp(figure("born_ms", 0), 0.0, 1e15)) * 1000;
+  h.server.up_since = static_cast<violetusher::Micros>(std::clamp(figure("born_ms", 0), 0.0, 1e15)) * 1000;
   if (h.server.id.empty()) throw ConfigError("hosts: an entry without host");
-  if (h.server.health != robinseam::Health::Gone && h.dial.empty())
+  if (h.server.health != violetusher::Health::Gone && h.dial.empty())
     throw ConfigError("hosts: " + h.server.id + " without dial");
   return h;
 }
@@ -142,9 +142,9 @@
   flatten(settings, "", pairs);
   c.settings_text = settings.dump();
   try {
-    robinseam::drill::SettingPairs by_path(pairs.begin(), pairs.end());
-    c.settings = robinseam::drill::settings_of(by_path);
-    c.links = robinseam::drill::link_settings_of(by_path);
+    violetusher::protocol::SettingPairs by_path(pairs.begin(), pairs.end());
+    c.settings = violetusher::protocol::settings_of(by_path);
+    c.links = violetusher::protocol::link_settings_of(by_path);
   } catch (const std::runtime_error& e) {
     throw ConfigError(std::string("settings: ") + e.what());
   }
@@ -215,4 +215,4 @@
   return c;
 }
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "../drill/settings.hpp"
+#include "../protocol/settings.hpp"
 
-namespace arrowfork {
+namespace violetusher::net {
 
 /// A configuration that can't be used; what() names the setting.
 struct ConfigError : std::runtime_error {
@@ -16,7 +16,7 @@
 
 /// One cache server as discovery lists it.
 struct Host {
-  robinseam::Server server;
+  violetusher::Server server;
   std::string dial;
 };
 
@@ -35,9 +35,9 @@
   std::size_t memory_bytes = 0;
   std::size_t sockets = 0;
   HostList known;
-  robinseam::Settings settings;
+  violetusher::Settings settings;
   std::string settings_text;  ///< as the file had them, to tell whether they differ
-  robinseam::drill::LinkSettings links;
+  violetusher::protocol::LinkSettings links;
 };
 
 /// Reads the file that NODE_CONFIG names; the other NODE_ variables, where set, come before it.
@@ -48,4 +48,4 @@
 /// The same from the file's text alone.
 Config parse_config(const std::string& json);
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -5,7 +5,7 @@
 
 #include <cstdio>
 
-namespace arrowfork {
+namespace violetusher::net {
 namespace {
 
 const char* const kPath = "/discovery/hosts";
@@ -81,7 +81,7 @@
     try {
       call->result_ = parse_host_list(text);
     } catch (const ConfigError& e) {
-      std::fprintf(stderr, "arrowfork: discovery: %s\n", e.what());
+      std::fprintf(stderr, "violetusher: discovery: %s\n", e.what());
     }
   }
   event_active(call->ready_.get(), 0, 0);
@@ -171,4 +171,4 @@
   static_cast<Discovery*>(self)->watch();
 }
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -11,7 +11,7 @@
 #include "config.hpp"
 #include "io.hpp"
 
-namespace arrowfork {
+namespace violetusher::net {
 
 /// One HTTP call at a time.
 class DiscoveryCall {
@@ -78,4 +78,4 @@
   EventPtr again_;
 };
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/io.cpp
+++ b/src/net/io.cpp
@@ -4,7 +4,7 @@
 
 #include <charconv>
 
-namespace arrowfork {
+namespace violetusher::net {
 
 std::optional<sockaddr_in> parse_address(const std::string& text, bool to_listen) {
   std::size_t colon = text.rfind(':');
@@ -22,4 +22,4 @@
   return address;
 }
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/io.hpp
+++ b/src/net/io.hpp
@@ -12,11 +12,11 @@
 #include <string>
 #include <utility>
 
-#include "robinseam/balancer.hpp"
+#include "violetusher/balancer.hpp"
 
-namespace arrowfork {
+namespace violetusher::net {
 
-using robinseam::Micros;
+using violetusher::Micros;
 
 constexpr Micros kMillisecond = 1000;
 constexpr Micros kSecond = 1'000'000;
@@ -78,4 +78,4 @@
 /// is an address to listen on only.
 std::optional<sockaddr_in> parse_address(const std::string& text, bool to_listen = false);
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -4,11 +4,11 @@
 #include <cmath>
 #include <cstdio>
 
-namespace arrowfork {
+namespace violetusher::net {
 namespace {
 
-using robinseam::Actions;
-using robinseam::ListScope;
+using violetusher::Actions;
+using violetusher::ListScope;
 
 // What servers are presumed to hold at least; all routers together stay within it.
 constexpr std::size_t kServerHolds = 60;
@@ -54,9 +54,9 @@
   return l;
 }
 
-robinseam::Balancer make_balancer(const Config& c, Micros now) {
+violetusher::Balancer make_balancer(const Config& c, Micros now) {
   try {
-    return robinseam::Balancer(c.settings, c.seed, now);
+    return violetusher::Balancer(c.settings, c.seed, now);
   } catch (const std::invalid_argument& e) {
     throw ConfigError(std::string("settings: ") + e.what());
   }
@@ -68,8 +68,8 @@
   return longest;
 }
 
-std::vector<robinseam::Server> servers_of(const HostList& list) {
-  std::vector<robinseam::Server> servers;
+std::vector<violetusher::Server> servers_of(const HostList& list) {
+  std::vector<violetusher::Server> servers;
   servers.reserve(list.hosts.size());
   for (const Host& host : list.hosts) servers.push_back(host.server);
   return servers;
@@ -147,10 +147,10 @@
 
 void Router::reload(const Config& config) {
   auto differs = [](const char* what) {
-    std::fprintf(stderr, "arrowfork: reload: %s differs: needs a restart\n", what);
+    std::fprintf(stderr, "violetusher: reload: %s differs: needs a restart\n", what);
   };
   if (!parse_address(config.discovery)) {
-    std::fprintf(stderr, "arrowfork: reload: discovery: no address: '%s'; the old one is kept\n",
+    std::fprintf(stderr, "violetusher: reload: discovery: no address: '%s'; the old one is kept\n",
                  config.discovery.c_str());
     return;
   }
@@ -158,7 +158,7 @@
   if (config.memory_bytes != config_.memory_bytes || config.sockets != config_.sockets)
     differs("limits");
   if (config.settings_text != config_.settings_text) differs("settings");
-  std::fprintf(stderr, "arrowfork: reload: discovery at %s\n", config.discovery.c_str());
+  std::fprintf(stderr, "violetusher: reload: discovery at %s\n", config.discovery.c_str());
   config_.discovery = config.discovery;
   discovery_.move(config.discovery);
 }
@@ -177,7 +177,7 @@
                   return t.name == command.tenant;
                 });
   if (type == classes.end() || !tenant || open_ids_.count(command.id) > 0 ||
-      (type->effect == robinseam::Effect::Keyed && !command.idempotent)) {
+      (type->effect == violetusher::Effect::Keyed && !command.idempotent)) {
     clients_.reject(slot, kBad);
     return;
   }
@@ -350,7 +350,7 @@
         forget_if_done(e->id);
         continue;
       }
-      robinseam::Request r;
+      violetusher::Request r;
       r.id = e->id;
       r.type = open.command.type;
       r.tenant = open.command.tenant;
@@ -374,11 +374,11 @@
 }
 
 void Router::perform(const Actions& actions) {
-  for (const robinseam::Action& action : actions)
+  for (const violetusher::Action& action : actions)
     std::visit([this](const auto& a) { act(a); }, action);
 }
 
-void Router::act(const robinseam::Send& a) {
+void Router::act(const violetusher::Send& a) {
   auto it = open_.find(a.id);
   if (it == open_.end()) return;  // the module outlives no request: see forget_if_done
   Open& open = it->second;
@@ -398,7 +398,7 @@
   servers_.send(a.server, a.id, attempt, open.command, (wait + kMillisecond - 1) / kMillisecond);
 }
 
-void Router::act(const robinseam::Refuse& a) {
+void Router::act(const violetusher::Refuse& a) {
   auto it = open_.find(a.id);
   if (it == open_.end() || it->second.answered) return;
   std::string text = "SERVER_ERROR busy";
@@ -407,14 +407,14 @@
   forget_if_done(a.id);
 }
 
-void Router::act(const robinseam::Fail& a) {
+void Router::act(const violetusher::Fail& a) {
   auto it = open_.find(a.id);
   if (it == open_.end() || it->second.answered) return;
   give_answer(it->second, kFailed);
   forget_if_done(a.id);
 }
 
-void Router::act(const robinseam::Cancel& a) {
+void Router::act(const violetusher::Cancel& a) {
   auto it = open_.find(a.id);
   if (it == open_.end() || a.attempt < 0 ||
       a.attempt >= static_cast<int>(it->second.attempts.size()))
@@ -425,11 +425,11 @@
   tell_outcome(a.id, open, a.attempt, servers_.cancel(one.server, a.id, a.attempt), nullptr);
 }
 
-void Router::act(const robinseam::Timer& a) {
+void Router::act(const violetusher::Timer& a) {
   set_timer(clock_.now() + a.after, Due::Module, a.token);
 }
 
-void Router::act(const robinseam::Probe&) {
+void Router::act(const violetusher::Probe&) {
   // The module probes nothing; no site it was made for allows it.
 }
 
@@ -450,4 +450,4 @@
   open_.erase(it);
 }
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -15,7 +15,7 @@
 #include "io.hpp"
 #include "server_side.hpp"
 
-namespace arrowfork {
+namespace violetusher::net {
 
 class Router final : ClientSide::Handler, ServerSide::Handler, Discovery::Handler {
  public:
@@ -54,7 +54,7 @@
   };
   // What waits for its turn to be told to the module.
   struct OutcomeEvent {
-    robinseam::Outcome outcome;
+    violetusher::Outcome outcome;
   };
   struct RequestEvent {
     RequestId id;
@@ -63,8 +63,8 @@
     RequestId id;
   };
   struct ListEvent {
-    robinseam::ListScope scope;
-    std::vector<robinseam::Server> servers;
+    violetusher::ListScope scope;
+    std::vector<violetusher::Server> servers;
   };
   struct TimerEvent {
     std::uint64_t token;
@@ -99,15 +99,15 @@
   void set_timer(Micros at, Due due, std::uint64_t token, int attempt = 0);
   /// Tells the module what has happened and carries out what it answers, until nothing is left.
   void settle();
-  void perform(const robinseam::Actions& actions);
-  void act(const robinseam::Send& a);
-  void act(const robinseam::Refuse& a);
-  void act(const robinseam::Fail& a);
-  void act(const robinseam::Cancel& a);
-  void act(const robinseam::Watch&) { discovery_.watch(); }
-  void act(const robinseam::Fetch&) { discovery_.fetch(); }
-  void act(const robinseam::Timer& a);
-  void act(const robinseam::Probe& a);
+  void perform(const violetusher::Actions& actions);
+  void act(const violetusher::Send& a);
+  void act(const violetusher::Refuse& a);
+  void act(const violetusher::Fail& a);
+  void act(const violetusher::Cancel& a);
+  void act(const violetusher::Watch&) { discovery_.watch(); }
+  void act(const violetusher::Fetch&) { discovery_.fetch(); }
+  void act(const violetusher::Timer& a);
+  void act(const violetusher::Probe& a);
   void expire(RequestId id, int attempt);
   void give_answer(Open& open, std::string text);
   void tell_gone(RequestId id, Open& open);
@@ -118,7 +118,7 @@
   event_base* base_;
   Config config_;
   Clock clock_;
-  robinseam::Balancer balancer_;
+  violetusher::Balancer balancer_;
   std::unordered_map<RequestId, Open> open_;
   std::unordered_set<std::string> open_ids_;  // the clients' ids of the requests in open_
   std::size_t open_bytes_ = 0;                // what their commands hold
@@ -136,4 +136,4 @@
   bool done_ = false;
 };
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 
-namespace arrowfork {
+namespace violetusher::net {
 namespace {
 
 constexpr std::size_t kScratch = 16u << 10;
@@ -216,7 +216,7 @@
 };
 
 ServerSide::ServerSide(event_base* base, const Clock& clock, Handler& handler, Limits limits,
-                       const std::vector<robinseam::ReportField>* fields)
+                       const std::vector<violetusher::ReportField>* fields)
     : base_(base),
       clock_(clock),
       handler_(handler),
@@ -234,7 +234,7 @@
   if (list.whole)
     for (auto& [id, pool] : pools_) pool->listed = pool->wanted = false;
   for (const Host& host : list.hosts) {
-    bool gone = host.server.health == robinseam::Health::Gone;
+    bool gone = host.server.health == violetusher::Health::Gone;
     auto at = pools_.find(host.server.id);
     if (at == pools_.end()) {
       if (gone) continue;
@@ -251,7 +251,7 @@
       for (auto& c : pool.connections) c->retiring_ = true;
     }
     pool.listed = !gone;
-    pool.wanted = host.server.health == robinseam::Health::Ready;
+    pool.wanted = host.server.health == violetusher::Health::Ready;
   }
   for (auto& [id, pool] : pools_)
     if (!pool->wanted)
@@ -475,4 +475,4 @@
   closed_.clear();
 }
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -10,12 +10,16 @@
 
 #include "config.hpp"
 #include "io.hpp"
-#include "memcache.hpp"
+#include "../protocol/meta.hpp"
 
-namespace arrowfork {
+namespace violetusher::net {
 
-using robinseam::RequestId;
-using robinseam::Status;
+using protocol::Answer;
+using protocol::AnswerReader;
+using protocol::Command;
+
+using violetusher::RequestId;
+using violetusher::Status;
 
 class ServerConnection;
 struct ServerPool;
@@ -40,7 +44,7 @@
   };
 
   ServerSide(event_base* base, const Clock& clock, Handler& handler, Limits limits,
-             const std::vector<robinseam::ReportField>* fields);
+             const std::vector<violetusher::ReportField>* fields);
   ~ServerSide();
 
   /// Takes over what a list says of where servers are and whether they want anything new.
@@ -77,7 +81,7 @@
   const Clock& clock_;
   Handler& handler_;
   Limits limits_;
-  const std::vector<robinseam::ReportField>* fields_;
+  const std::vector<violetusher::ReportField>* fields_;
   EventPtr sweep_event_;
   std::unordered_map<std::string, std::unique_ptr<ServerPool>> pools_;
   std::size_t total_ = 0;
@@ -86,4 +90,4 @@
   std::unique_ptr<char[]> scratch_;
 };
 
-}  // namespace arrowfork
+}  // namespace violetusher::net
--- a/src/rules.cpp
+++ b/src/policy/rules.cpp
@@ -1,4 +1,4 @@
-// Every decision of robinseam, from top to bottom:
+// Every decision of violetusher, from top to bottom:
 //   tunables, state, segments, saved seeds, server health, admission, attempts, list.
 #include <algorithm>
 #include <array>
@@ -8,9 +8,9 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "robinseam/balancer.hpp"
+#include "violetusher/balancer.hpp"
 
-namespace robinseam {
+namespace violetusher {
 namespace {
 
 // ---- tunables ----
@@ -1171,4 +1171,4 @@
   return at == impl_->index.end() ? 0 : impl_->live(impl_->servers[at->second]);
 }
 
-}  // namespace robinseam
+}  // namespace violetusher
--- a/src/net/memcache.cpp
+++ b/src/protocol/meta.cpp
@@ -1,13 +1,13 @@
-#include "memcache.hpp"
+#include "meta.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <limits>
 
-#include "../drill/settings.hpp"
+#include "settings.hpp"
 
-namespace arrowfork {
+namespace violetusher::protocol {
 namespace {
 
 constexpr std::size_t kMaxPairs = 16;  // names and values of one command
@@ -175,7 +175,7 @@
     text.remove_prefix(std::min(text.size(), pair.size() + 1));
     std::size_t eq = pair.find('=');
     if (eq == pair.npos) continue;
-    auto field = robinseam::drill::report_field_of(pair.substr(0, eq));
+    auto field = violetusher::protocol::report_field_of(pair.substr(0, eq));
     auto value = number<double>(pair.substr(eq + 1));
     if (!field || !value || !(*value >= 0 && *value <= kMaxFigure)) continue;  // unreadable
     auto at = std::find(fields_->begin(), fields_->end(), *field);
@@ -269,4 +269,4 @@
   return Got::Nothing;
 }
 
-}  // namespace arrowfork
+}  // namespace violetusher::protocol
--- a/src/net/memcache.hpp
+++ b/src/protocol/meta.hpp
@@ -8,9 +8,9 @@
 #include <string_view>
 #include <vector>
 
-#include "robinseam/balancer.hpp"
+#include "violetusher/balancer.hpp"
 
-namespace arrowfork {
+namespace violetusher::protocol {
 
 constexpr std::size_t kMaxLine = 2048;        ///< bytes of one line, its end included
 constexpr std::size_t kMaxKey = 250;          ///< as memcached has it
@@ -81,7 +81,7 @@
 /// Reads answers of one connection, in their order.
 class AnswerReader {
  public:
-  explicit AnswerReader(const std::vector<robinseam::ReportField>* fields) : fields_(fields) {}
+  explicit AnswerReader(const std::vector<violetusher::ReportField>* fields) : fields_(fields) {}
   enum class Got {
     Nothing,  ///< all of `in` is consumed, nothing is whole
     Answer,   ///< `answer` is whole, its value too
@@ -96,11 +96,11 @@
   bool parse_line(std::string_view line, Answer& answer) const;
   void parse_report(std::string_view text, Answer& answer) const;
 
-  const std::vector<robinseam::ReportField>* fields_;
+  const std::vector<violetusher::ReportField>* fields_;
   State state_ = State::Line;
   std::string partial_;
   Answer pending_;
   std::size_t need_ = 0;
 };
 
-}  // namespace arrowfork
+}  // namespace violetusher::protocol
--- a/src/drill/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -3,7 +3,7 @@
 #include <charconv>
 #include <cmath>
 
-namespace robinseam::drill {
+namespace violetusher::protocol {
 namespace {
 
 constexpr Words<Effect, 3> kEffect{
@@ -143,4 +143,4 @@
   return l;
 }
 
-}  // namespace robinseam::drill
+}  // namespace violetusher::protocol
--- a/src/drill/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -4,10 +4,10 @@
 
 #include <map>
 
-#include "robinseam/balancer.hpp"
+#include "violetusher/balancer.hpp"
 #include "text.hpp"
 
-namespace robinseam::drill {
+namespace violetusher::protocol {
 
 using SettingPairs = std::map<std::string, std::string_view, std::less<>>;
 
@@ -26,4 +26,4 @@
 /// The meaning of a load report's value by its name.
 std::optional<ReportField> report_field_of(std::string_view name);
 
-}  // namespace robinseam::drill
+}  // namespace violetusher::protocol
--- a/src/drill/text.hpp
+++ b/src/protocol/text.hpp
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace robinseam::drill {
+namespace violetusher::protocol {
 
 /// A malformed line or setting; what() says what is wrong with it.
 struct WireError : std::runtime_error {
@@ -63,4 +63,4 @@
   return value;
 }
 
-}  // namespace robinseam::drill
+}  // namespace violetusher::protocol
--- a/tests/reload_test.cpp
+++ b/tests/daemon/reload_test.cpp
@@ -4,9 +4,9 @@
 #include <fstream>
 #include <sys/wait.h>
 
-#include "net_support.hpp"
+#include "../net/net_support.hpp"
 
-namespace arrowfork::test {
+namespace violetusher::net::test {
 namespace {
 
 std::string http(const std::string& body) {
@@ -44,7 +44,7 @@
 TEST(Program, OutlivesReloadsAndEndsOnTerm) {
   LineServer cache(good_cache);
   std::string folder = ::testing::TempDir();
-  std::string path = folder + "/arrowfork-" + std::to_string(::getpid()) + ".json";
+  std::string path = folder + "/violetusher-" + std::to_string(::getpid()) + ".json";
   auto write = [&](const std::string& text) { std::ofstream(path, std::ios::trunc) << text; };
   std::string good = config_text({.dials = {cache.address()}});
   write(good);
@@ -56,7 +56,7 @@
     ::dup2(log[1], 2);
     ::setenv("NODE_CONFIG", path.c_str(), 1);
     for (const char* name : {"NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"}) ::unsetenv(name);
-    ::execl(ARROWFORK_PROGRAM, ARROWFORK_PROGRAM, nullptr);
+    ::execl(VIOLETUSHER_PROGRAM, VIOLETUSHER_PROGRAM, nullptr);
     ::_exit(127);
   }
   ::close(log[1]);
@@ -91,4 +91,4 @@
 }
 
 }  // namespace
-}  // namespace arrowfork::test
+}  // namespace violetusher::net::test
--- a/tests/wire_test.cpp
+++ b/tests/drill/wire_test.cpp
@@ -1,8 +1,8 @@
-#include "wire.hpp"
+#include "drill/wire.hpp"
 
 #include <gtest/gtest.h>
 
-namespace robinseam::drill {
+namespace violetusher::drill {
 namespace {
 
 const char* const kEnlist =
@@ -32,7 +32,7 @@
 }
 
 TEST(Wire, SettingsAreReadAndUnknownOnesSkipped) {
-  Settings s = settings_of(pairs_by_path(Line(kEnlist)));
+  Settings s = protocol::settings_of(pairs_by_path(Line(kEnlist)));
   ASSERT_EQ(s.classes.size(), 1u);
   EXPECT_EQ(s.classes[0].name, "read");
   EXPECT_EQ(s.classes[0].effect, Effect::Keyed);
@@ -119,4 +119,4 @@
 }
 
 }  // namespace
-}  // namespace robinseam::drill
+}  // namespace violetusher::drill
--- a/tests/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -20,7 +20,7 @@
 
 #include "net/router.hpp"
 
-namespace arrowfork::test {
+namespace violetusher::net::test {
 
 constexpr int kPatienceMs = 30'000;
 
@@ -314,4 +314,4 @@
   return "mg " + key + " v O" + id + " Pc=read,t=acme,d=" + d + "\r\n";
 }
 
-}  // namespace arrowfork::test
+}  // namespace violetusher::net::test
--- a/tests/server_side_test.cpp
+++ b/tests/net/server_side_test.cpp
@@ -1,7 +1,7 @@
 // Cache servers that misbehave, against the real router and its server side.
 #include "net_support.hpp"
 
-namespace arrowfork::test {
+namespace violetusher::net::test {
 namespace {
 
 /// What comes behind a good answer must not be taken for the answer to the next request. There is
@@ -71,7 +71,7 @@
   } ignore;
   EventBasePtr base(event_base_new());
   Clock clock;
-  std::vector<robinseam::ReportField> fields;
+  std::vector<violetusher::ReportField> fields;
   ServerSide side(base.get(), clock, ignore, {}, &fields);
   for (int k = 0; k < 50; ++k) {
     std::string id = "s-" + std::to_string(k);
@@ -113,7 +113,7 @@
 
   EventBasePtr base{event_base_new()};
   Clock clock;
-  std::vector<robinseam::ReportField> fields;
+  std::vector<violetusher::ReportField> fields;
   std::map<RequestId, Status> ended;
   std::unique_ptr<ServerSide> side;
 };
@@ -228,7 +228,7 @@
 
 /// An unreadable report is no report: it must not pass for the report of an idle server.
 TEST(Answers, UnreadableReportsAreNone) {
-  std::vector<robinseam::ReportField> fields{robinseam::ReportField::Utilization};
+  std::vector<violetusher::ReportField> fields{violetusher::ReportField::Utilization};
   for (const char* report : {"Lload_share=zz", "L", "Lload_share=1e300", "Lload_share=-4",
                              "Lload_share=nan", "Lother=1"}) {
     AnswerReader reader(&fields);
@@ -241,4 +241,4 @@
 }
 
 }  // namespace
-}  // namespace arrowfork::test
+}  // namespace violetusher::net::test
--- a/tests/checker.hpp
+++ b/tests/policy/checker.hpp
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "robinseam/balancer.hpp"
+#include "violetusher/balancer.hpp"
 
-namespace robinseam::test {
+namespace violetusher::test {
 
 class RuleChecker {
  public:
@@ -142,4 +142,4 @@
   std::vector<std::string> breaks_;
 };
 
-}  // namespace robinseam::test
+}  // namespace violetusher::test
--- a/tests/drive_test.cpp
+++ b/tests/policy/drive_test.cpp
@@ -8,7 +8,7 @@
 #include "checker.hpp"
 #include "support.hpp"
 
-namespace robinseam::test {
+namespace violetusher::test {
 namespace {
 
 struct Drive {
@@ -218,4 +218,4 @@
 }
 
 }  // namespace
-}  // namespace robinseam::test
+}  // namespace violetusher::test
--- a/tests/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -7,7 +7,7 @@
 
 #include "support.hpp"
 
-namespace robinseam::test {
+namespace violetusher::test {
 namespace {
 
 std::map<std::string, std::string> homes(const Balancer& b, int keys) {
@@ -670,4 +670,4 @@
 }
 
 }  // namespace
-}  // namespace robinseam::test
+}  // namespace violetusher::test
--- a/tests/support.hpp
+++ b/tests/policy/support.hpp
@@ -3,9 +3,9 @@
 #include <string>
 #include <vector>
 
-#include "robinseam/balancer.hpp"
+#include "violetusher/balancer.hpp"
 
-namespace robinseam::test {
+namespace violetusher::test {
 
 constexpr Micros kMs = 1000;
 constexpr Micros kS = 1'000'000;
@@ -103,4 +103,4 @@
   return attempts;
 }
 
-}  // namespace robinseam::test
+}  // namespace violetusher::test
