--- a/src/kit/common/loop.hpp
+++ b/src/kit/common/loop.hpp
@@ -41,6 +41,8 @@
   /// Ends the loop from another thread or a signal handler.
   void stop_from_outside() { asked_ = true; }
   const Lateness& lateness() const { return lateness_; }
+  /// What was late before does not count: the loop was not running yet.
+  void forget_lateness() { lateness_ = Lateness(); }
 
  private:
   struct Timer {
--- a/src/kit/common/svg.cpp
+++ b/src/kit/common/svg.cpp
@@ -150,11 +150,11 @@
       double value = map.rows[r].second[k];
       double x = kLeft + cell * static_cast<double>(k);
       if (value < 0 || x >= kWidth - kRight) continue;
-      // From pale to a strong red by hue and lightness, readable in grey as well.
+      // One hue from pale to dark, so that it reads in grey as well.
       double part = std::clamp(value, 0.0, 1.0);
       svg += "<rect x=\"" + number(x) + "\" y=\"" + number(y) + "\" width=\"" + number(cell + 0.3) +
-             "\" height=\"" + number(row - 1) + "\" fill=\"hsl(" + number(210 - 200 * part, "%.0f") +
-             ",70%," + number(93 - 48 * part, "%.0f") + "%)\"/>";
+             "\" height=\"" + number(row - 1) + "\" fill=\"hsl(" + number(40 - 30 * part, "%.0f") +
+             ",75%," + number(94 - 56 * part, "%.0f") + "%)\"/>";
     }
   }
   svg += mark_bands(map.marks, map.length, kTop, bottom);
--- a/src/kit/common/units.cpp
+++ b/src/kit/common/units.cpp
@@ -45,6 +45,7 @@
 
 std::string duration_text(Micros span) {
   char text[32];
+  if (span == 0) return "0s";
   if (span >= 1'000'000)
     std::snprintf(text, sizeof text, "%.2fs", static_cast<double>(span) / 1e6);
   else if (span >= 1000)
--- a/src/kit/standin/fleet.cpp
+++ b/src/kit/standin/fleet.cpp
@@ -104,6 +104,7 @@
 
 void Fleet::start(Micros origin) {
   shared_.origin_time = origin;
+  shared_.loop.forget_lateness();
   kit::Loop& loop = shared_.loop;
   for (const Fault& fault : shared_.faults) {
     loop.at(origin + fault.from, [this, &fault] { begin(fault); });
--- /dev/null
+++ b/tests/kit/rehearse/saboteur.cpp
@@ -0,0 +1,199 @@
+// A small router for tests: honest, or breaking one rule as SABOTEUR says, so that the oracle is
+// seen to name it. One thread for each connection of a client, one new connection for each attempt.
+#include <arpa/inet.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "net/io.hpp"
+#include "protocol/meta.hpp"
+
+namespace {
+
+using Json = nlohmann::json;
+using violetusher::net::Fd;
+using violetusher::net::parse_address;
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr int kWarmMs = 9'000;  // an honest router leaves a new price cache alone for so long
+
+struct Cache {
+  std::string id, dial;
+  bool ready = true;
+  std::int64_t born_ms = 0;
+};
+
+std::string mode;
+std::mutex mutex;
+std::vector<Cache> caches;
+std::atomic<int> asked{0};
+
+std::int64_t unix_ms() {
+  return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::vector<Cache> read_list(const Json& list) {
+  std::vector<Cache> read;
+  for (const Json& host : list.at("hosts"))
+    read.push_back({host.at("host"), host.at("dial"), host.at("health") == "active", host.at("born_ms")});
+  return read;
+}
+
+Fd connect_to(const std::string& address, int limit_ms) {
+  auto to = parse_address(address);
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  timeval limit{limit_ms / 1000, (limit_ms % 1000) * 1000};
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  if (!to || ::connect(fd.get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0) return Fd();
+  return fd;
+}
+
+void send_all(int fd, const std::string& text) {
+  for (std::size_t at = 0; at < text.size();) {
+    ssize_t put = ::send(fd, text.data() + at, text.size() - at, MSG_NOSIGNAL);
+    if (put <= 0) return;
+    at += static_cast<std::size_t>(put);
+  }
+}
+
+void poll_discovery(std::string address) {
+  while (true) {
+    std::this_thread::sleep_for(milliseconds(200));
+    Fd fd = connect_to(address, 2000);
+    if (!fd) continue;
+    send_all(fd.get(), "GET /discovery/hosts HTTP/1.1\r\nHost: d\r\nConnection: close\r\n\r\n");
+    std::string text;
+    char bytes[8192];
+    for (ssize_t got; (got = ::recv(fd.get(), bytes, sizeof bytes, 0)) > 0;)
+      text.append(bytes, static_cast<std::size_t>(got));
+    std::size_t body = text.find("\r\n\r\n");
+    if (text.rfind("HTTP/1.1 200", 0) != 0 || body == text.npos) continue;
+    std::vector<Cache> fresh = read_list(Json::parse(text.substr(body + 4)));
+    std::lock_guard lock(mutex);
+    if (mode == "ignore-drain") continue;  // told, and does not care
+    caches = std::move(fresh);
+  }
+}
+
+std::string choose(const std::string& key) {
+  std::lock_guard lock(mutex);
+  std::vector<const Cache*> fit;
+  const Cache* youngest = nullptr;
+  for (const Cache& c : caches) {
+    if (!c.ready) continue;
+    if (c.born_ms && (!youngest || c.born_ms > youngest->born_ms)) youngest = &c;
+    if (c.born_ms == 0 || unix_ms() - c.born_ms > kWarmMs) fit.push_back(&c);
+  }
+  if (mode == "push-cold" && youngest) return youngest->dial;
+  if (fit.empty()) return {};
+  return fit[std::hash<std::string>()(key) % fit.size()]->dial;
+}
+
+/// One attempt: what the price cache answered, whole, or nothing.
+std::string attempt(const violetusher::protocol::Command& command, int limit_ms) {
+  auto until = Clock::now() + milliseconds(limit_ms);
+  Fd fd = connect_to(choose(command.key), 100);
+  if (!fd) return {};
+  send_all(fd.get(), command.wire(limit_ms));
+  std::string in;
+  while (true) {
+    std::size_t end = in.find("\r\n");
+    if (end != in.npos) {
+      if (in.rfind("VA ", 0) != 0) return in.substr(0, end + 2);
+      std::size_t whole = end + 2 + std::strtoul(in.c_str() + 3, nullptr, 10) + 2;
+      if (in.size() >= whole) return in.substr(0, whole);
+    }
+    auto left = std::chrono::duration_cast<milliseconds>(until - Clock::now()).count();
+    pollfd poll{fd.get(), POLLIN, 0};
+    if (left <= 0 || ::poll(&poll, 1, static_cast<int>(left)) != 1) return {};
+    char bytes[8192];
+    ssize_t got = ::recv(fd.get(), bytes, sizeof bytes, 0);
+    if (got <= 0) return {};
+    in.append(bytes, static_cast<std::size_t>(got));
+  }
+}
+
+/// The answer for the client; empty for none.
+std::string answer_for(const violetusher::protocol::Command& command) {
+  bool mine = asked++ % 20 == 19;  // whom a saboteur harms
+  int limit = std::max(1, static_cast<int>(command.wait_ms) - 20);
+  if (mine && mode == "lose") return {};
+  if (mine && mode == "hold-back") {
+    std::this_thread::sleep_for(milliseconds(std::max(0, limit - 20)));
+    return "SERVER_ERROR busy\r\n";
+  }
+  if (mine && mode == "crash") std::abort();
+  std::string answer = attempt(command, limit);
+  if (answer.empty()) return "SERVER_ERROR failed\r\n";
+  if (mine && mode == "twice") answer += answer;
+  if (mine && mode == "wrong-value" && !command.set)
+    return "VA 5 O" + command.id + "\r\nwrong\r\n";
+  if (mode == "repeat-sale" && command.set)
+    std::thread([command] {
+      std::this_thread::sleep_for(milliseconds(5'300));
+      attempt(command, 500);
+    }).detach();
+  if (answer.rfind("VA ", 0) == 0 || answer.rfind("HD ", 0) == 0 ||
+      answer.rfind("SERVER_ERROR busy", 0) == 0)
+    return answer;
+  return "SERVER_ERROR failed\r\n";
+}
+
+void serve(Fd fd) {
+  violetusher::protocol::CommandReader reader;
+  char bytes[8192];
+  for (ssize_t got; (got = ::recv(fd.get(), bytes, sizeof bytes, 0)) > 0;) {
+    std::string_view in(bytes, static_cast<std::size_t>(got));
+    while (!in.empty()) {
+      violetusher::protocol::Command command;
+      auto read = reader.take(in, command);
+      using Got = violetusher::protocol::CommandReader::Got;
+      if (read == Got::Noop) send_all(fd.get(), "MN\r\n");
+      if (read == Got::Unknown) send_all(fd.get(), "ERROR\r\n");
+      if (read == Got::Bad) return;
+      if (read == Got::Command) send_all(fd.get(), answer_for(command));
+    }
+  }
+}
+
+}  // namespace
+
+int main() {
+  ::signal(SIGPIPE, SIG_IGN);
+  ::signal(SIGTERM, [](int) { ::_exit(0); });
+  const char* set = std::getenv("SABOTEUR");
+  mode = set ? set : "honest";
+  if (mode == "exit-at-once") return 7;
+  std::ifstream file(std::getenv("NODE_CONFIG"));
+  Json config = Json::parse(file);
+  caches = read_list(config.at("known"));
+  auto address = parse_address(config.at("listen"), true);
+  int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), yes = 1;
+  ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  if (!address || ::bind(listener, reinterpret_cast<sockaddr*>(&*address), sizeof *address) != 0 ||
+      ::listen(listener, 256) != 0) {
+    std::perror("saboteur: listen");
+    return 1;
+  }
+  std::thread(poll_discovery, std::string(config.at("discovery"))).detach();
+  while (true) {
+    Fd fd(::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC));
+    if (fd) std::thread([peer = std::move(fd)]() mutable { serve(std::move(peer)); }).detach();
+  }
+}
