--- a/src/kit/standin/discovery.cpp
+++ b/src/kit/standin/discovery.cpp
@@ -159,7 +159,7 @@
       queue_.pop_front();
       if (loop_.now() - call.came > spec_.call_limit) {
         fail(call);
-      } else if (call.watch && call.index >= version_) {
+      } else if (call.watch && call.index == version_) {
         watches_.push_back(call);
         loop_.at(call.until, [this] { look_at_watches(); });
       } else {
@@ -175,7 +175,7 @@
   std::list<Call> due;
   for (auto it = watches_.begin(); it != watches_.end();) {
     auto next = std::next(it);
-    if (it->until <= now || it->index < version_) due.splice(due.end(), watches_, it);
+    if (it->until <= now || it->index != version_) due.splice(due.end(), watches_, it);
     it = next;
   }
   for (const Call& call : due) answer(call);
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -71,6 +71,7 @@
     return ended_ ? in_ : in_ + "(open)";
   }
   bool ended() const { return ended_; }
+  int fd() const { return fd_.get(); }
   /// Ends the sending side alone.
   void end_sending() { ::shutdown(fd_.get(), SHUT_WR); }
 
