--- a/src/kit/common/loop.cpp
+++ b/src/kit/common/loop.cpp
@@ -47,6 +47,7 @@
 }
 
 void Loop::at(Micros at, std::function<void()> task) {
+  at = std::max(at, now());  // what was due before it was set is not the loop's lateness
   timers_.push({at, order_++, std::move(task)});
   if (!ringing_ && (armed_ == 0 || at < armed_)) arm();
 }
--- a/src/kit/rehearse/rig.cpp
+++ b/src/kit/rehearse/rig.cpp
@@ -117,10 +117,14 @@
   for (int r = 0; r < routers; ++r) told.push_back({fleet.discovery_address(r), fleet.list_json(r)});
   std::unique_ptr<Mailbox> to_tills;
   TillSide* tills_at = nullptr;
+  std::vector<std::uint64_t> changes(static_cast<std::size_t>(routers), 0);
   RouterProcesses processes(control, day, plan.seed, options.router, told, played.history,
                             [&](int router, bool alive) {
-                              // The front sees a death only after some time, and a start at once.
-                              control.at(control.now() + (alive ? 0 : day.tills.notice), [&, router, alive] {
+                              // The front sees a death only after some time, and one that is over
+                              // by then never; a start it sees at once.
+                              auto change = ++changes[static_cast<std::size_t>(router)];
+                              control.at(control.now() + (alive ? 0 : day.tills.notice), [&, router, alive, change] {
+                                if (changes[static_cast<std::size_t>(router)] != change) return;
                                 to_tills->post([&, router, alive] { tills_at->set_alive(router, alive); });
                               });
                             });
--- a/tests/kit/rehearse/play_test.cpp
+++ b/tests/kit/rehearse/play_test.cpp
@@ -170,6 +170,20 @@
   EXPECT_GT(r.json["requests"]["served"], 200) << r.text;
 }
 
+/// A restart that is over before the front sees it must not leave the router out for good.
+TEST(Rehearsal, RestartedRoutersAreUsedAgain) {
+  std::string day = short_day(R"([expect]
+served = 0.95
+[[event]]
+what = "router-restarts"
+at = "300ms"
+routers = ["r1", "r2"]
+)");
+  day.replace(day.find("length = \"3s\""), 13, "length = \"6s\"");
+  PlayResult r = play_day(day, VIOLETUSHER_PROGRAM);
+  EXPECT_EQ(r.code, 0) << r.text;
+}
+
 /// The processes whose parent's parent was the rig would show here as leftovers.
 int routers_running(const std::string& program) {
   int count = 0;
--- a/tests/kit/rehearse/saboteur.cpp
+++ b/tests/kit/rehearse/saboteur.cpp
@@ -131,6 +131,9 @@
 
 /// The answer for the client; empty for none.
 std::string answer_for(const violetusher::protocol::Command& command) {
+  // Asks nobody: what is left is the rig's own cost.
+  if (mode == "null")
+    return command.set ? "HD O" + command.id + " cnull\r\n" : "VA 4 O" + command.id + "\r\nnull\r\n";
   bool mine = asked++ % 20 == 19;  // whom a saboteur harms
   int limit = std::max(1, static_cast<int>(command.wait_ms) - 20);
   if (mine && mode == "lose") return {};
