--- a/src/core/config/check.cpp
+++ b/src/core/config/check.cpp
@@ -43,6 +43,8 @@
       for (const auto& [tenant, part] : pool.shares) sum += part;
       if (std::abs(sum - 1) > 1e-9)
         tell(section, "", "the shares of pool '" + name + "' add up to " + write_figure(Type::kShare, std::round(sum * 1e8) / 1e8) + ", not to 100%");
+      else if (pool.limit.empty() || m_.limits.at(pool.limit).in_flight == 0)
+        tell(section, "limit", "pool '" + name + "' has shares but no limit with 'in_flight' to share", "the shares are parts of it");
     }
   }
 
--- /dev/null
+++ b/src/core/route/traffic.cpp
@@ -0,0 +1,182 @@
+#include "traffic.hpp"
+
+#include <algorithm>
+
+namespace violetusher::core {
+namespace {
+
+Limiter::Settings settings_of(const config::Limit& l) {
+  return {l.rate, static_cast<double>(std::max<std::int64_t>(l.burst, 1)), l.in_flight, l.come_back};
+}
+
+}  // namespace
+
+Traffic::Traffic(config::Model model, const Traffic* before) : model_(std::move(model)), routing_(model_) {
+  // Each user of a limit counts for itself.
+  auto limiter = [&](const std::string& user, const std::string& limit) {
+    if (limit.empty()) return;
+    const config::Limit& set = model_.limits.at(limit);
+    std::shared_ptr<Limiter> kept;
+    if (before)
+      if (auto it = before->limiters_.find(user); it != before->limiters_.end()) kept = it->second;
+    if (kept)
+      kept->change(settings_of(set));
+    else
+      kept = std::make_shared<Limiter>(settings_of(set));
+    limiters_[user] = kept;
+  };
+  auto budgets = [&](const std::string& user, const std::string& budget) {
+    if (budget.empty()) return;
+    const config::Budget& set = model_.budgets.at(budget);
+    if (before)
+      if (auto it = before->budgets_.find(user); it != before->budgets_.end() && it->second.set == set) {
+        budgets_[user] = it->second;
+        return;
+      }
+    budgets_[user] = {set, std::make_shared<RetryBudget>(set.retries, set.floor),
+                      std::make_shared<RetryBudget>(set.hedges, 0)};
+  };
+  for (const auto& [name, t] : model_.tenants) limiter("tenant " + name, t.limit);
+  for (const auto& [name, c] : model_.classes) limiter("class " + name, c.limit);
+  for (const auto& [name, r] : model_.routes) {
+    limiter("route " + name, r.limit);
+    budgets("route " + name, r.budget);
+    if (r.fallbacks.empty()) continue;
+    if (before) {
+      auto it = before->model_.routes.find(name);
+      auto kept = before->fallbacks_.find(name);
+      if (it != before->model_.routes.end() && it->second == r && kept != before->fallbacks_.end()) {
+        fallbacks_[name] = kept->second;
+        continue;
+      }
+    }
+    fallbacks_[name] = std::make_shared<Fallback>(Fallback::Settings{r.fall_over_at, r.fall_back_at, r.spill});
+  }
+  for (const auto& [name, p] : model_.pools) {
+    limiter("pool " + name, p.limit);
+    budgets("pool " + name, p.budget);
+    if (p.shares.empty() || p.limit.empty()) continue;
+    const config::Limit& set = model_.limits.at(p.limit);
+    if (set.in_flight == 0) continue;
+    if (before) {
+      auto it = before->shares_.find(name);
+      auto old = before->model_.pools.find(name);
+      if (it != before->shares_.end() && it->second.first == set && old->second.shares == p.shares) {
+        shares_[name] = it->second;
+        continue;
+      }
+    }
+    shares_[name] = {set, std::make_shared<FairShares>(set.in_flight, p.shares)};
+  }
+}
+
+template <typename T>
+const std::string* Traffic::name_in(const std::map<std::string, T>& map, const std::string& name) const {
+  auto it = map.find(name);
+  return it == map.end() ? nullptr : &it->first;
+}
+
+std::vector<Limiter*> Traffic::limiters_of(const Ticket& ticket) const {
+  std::vector<Limiter*> list;
+  for (const std::string& user : {"tenant " + ticket.tenant, "class " + ticket.type, "route " + *ticket.route,
+                                  "pool " + *ticket.pool})
+    if (auto it = limiters_.find(user); it != limiters_.end()) list.push_back(it->second.get());
+  return list;
+}
+
+FairShares* Traffic::shares_of(const Ticket& ticket) const {
+  auto it = shares_.find(*ticket.pool);
+  return it == shares_.end() ? nullptr : it->second.second.get();
+}
+
+Traffic::Budgets* Traffic::budgets_of(const Ticket& ticket) {
+  auto it = budgets_.find("route " + *ticket.route);
+  if (it == budgets_.end()) it = budgets_.find("pool " + *ticket.pool);
+  return it == budgets_.end() ? nullptr : &it->second;
+}
+
+Traffic::Decision Traffic::admit(Micros now, const RouteRequest& request, bool keyed, const PoolState& pools) {
+  Decision d;
+  d.ticket.route = routing_.find(request);
+  if (!d.ticket.route) return d;
+  const config::Route& route = model_.routes.at(*d.ticket.route);
+  d.ticket.tenant = request.tenant;
+  d.ticket.type = request.type;
+  d.ticket.pool = name_in(model_.pools, route.pool);
+  if (auto it = fallbacks_.find(*d.ticket.route); it != fallbacks_.end()) {
+    // The first fallback that has anybody. A keyed write may be a till's second try of one that has
+    // run in the first pool: it goes only where its repeat would be dropped.
+    const std::string* to = nullptr;
+    for (const std::string& f : route.fallbacks)
+      if (!to && pools.has_live(f) &&
+          (!keyed || (pools.shares_repeats(f) && pools.shares_repeats(route.pool))))
+        to = name_in(model_.pools, f);
+    if (it->second->cross(now, pools.has_live(route.pool), to != nullptr)) {
+      d.ticket.pool = to;
+      d.ticket.crossed = true;
+    }
+  }
+  auto limiters = limiters_of(d.ticket);
+  Limiter::Answer answer = admit_all(now, limiters);
+  FairShares* shares = shares_of(d.ticket);
+  if (answer.admitted && shares && !shares->admit(now, d.ticket.tenant)) {
+    for (Limiter* l : limiters) l->undo();
+    answer = {false, shares_.at(*d.ticket.pool).first.come_back};
+  }
+  d.admitted = d.ticket.holds = answer.admitted;
+  d.come_back = answer.come_back;
+  return d;
+}
+
+void Traffic::end(Micros now, Ticket& ticket, bool refused) {
+  if (!ticket.holds) return;
+  ticket.holds = false;
+  for (Limiter* l : limiters_of(ticket)) l->release();
+  if (FairShares* shares = shares_of(ticket)) shares->release(ticket.tenant);
+  if (auto it = fallbacks_.find(*ticket.route); it != fallbacks_.end() && !ticket.crossed)
+    it->second->on_end(now, refused);
+}
+
+void Traffic::on_first(Micros now, const Ticket& ticket) {
+  if (Budgets* b = budgets_of(ticket)) {
+    b->retries->on_first(now);
+    b->hedges->on_first(now);
+  }
+}
+
+bool Traffic::may_retry(Micros now, const Ticket& ticket, bool hedge) {
+  Budgets* b = budgets_of(ticket);
+  return !b || (hedge ? b->hedges : b->retries)->take(now);
+}
+
+bool matches(std::string_view pattern, std::string_view text) {
+  // Of each star only the last one has to be tried again: linear in practice, bounded always.
+  std::size_t p = 0, t = 0, star = pattern.npos, mark = 0;
+  while (t < text.size()) {
+    if (p < pattern.size() && pattern[p] == '*') {
+      star = p++;
+      mark = t;
+    } else if (p < pattern.size() && pattern[p] == text[t]) {
+      ++p, ++t;
+    } else if (star != pattern.npos) {
+      p = star + 1;
+      t = ++mark;
+    } else {
+      return false;
+    }
+  }
+  while (p < pattern.size() && pattern[p] == '*') ++p;
+  return p == pattern.size();
+}
+
+bool selected(const config::Pool& pool, const Server& server) {
+  auto among = [](const auto& list, const auto& value) {
+    return list.empty() || std::find(list.begin(), list.end(), value) != list.end();
+  };
+  return pool.servers.empty() && among(pool.halls, server.zone) && among(pool.kinds, server.kind) &&
+         among(pool.blocks, server.cell) &&
+         (pool.hosts.empty() || std::any_of(pool.hosts.begin(), pool.hosts.end(),
+                                            [&](const std::string& p) { return matches(p, server.id); }));
+}
+
+}  // namespace violetusher::core
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,21 +1,64 @@
-// violetusher: one router. Reads what it is told, starts, and ends on SIGTERM. SIGHUP makes it
-// read its configuration again.
+// violetusher: one router. Reads what it is told, starts, and ends on SIGTERM. SIGHUP makes it read its
+// configuration, and the operator file where one is in use, again.
 #include <csignal>
 #include <cstdio>
+#include <cstring>
 
+#include "../net/operator_file.hpp"
 #include "../net/router.hpp"
 
 namespace {
 
+constexpr int kWrongInput = 2;
+
 int complain(const std::string& what) {
   std::fprintf(stderr, "violetusher: %s\n", what.c_str());
   return 1;
 }
 
+int usage(const std::string& what) {
+  std::fprintf(stderr, "violetusher: %s\nusage: violetusher [--operator FILE] [--check]\n", what.c_str());
+  return kWrongInput;
+}
+
+/// Reads everything, says what is wrong, and starts nothing.
+int check(const std::string& operator_file) {
+  using namespace violetusher::net;
+  try {
+    bool has_config = std::getenv("NODE_CONFIG") != nullptr;
+    Config config;
+    if (has_config) config = load_config();
+    if (!operator_file.empty()) load_operator_file(operator_file, has_config ? &config : nullptr);
+    if (!has_config && operator_file.empty()) return usage("--check: neither NODE_CONFIG nor --operator");
+    std::fprintf(stderr, "violetusher: good\n");
+    return 0;
+  } catch (const ConfigError& e) {
+    std::fprintf(stderr, "%s\n", e.what());
+    return kWrongInput;
+  }
+}
+
+/// What SIGHUP needs.
+struct Reload {
+  violetusher::net::Router* router;
+  std::string operator_file;
+};
+
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
   using namespace violetusher::net;
+  std::string operator_file;
+  bool only_check = false;
+  for (int k = 1; k < argc; ++k) {
+    if (std::strcmp(argv[k], "--operator") == 0 && k + 1 < argc)
+      operator_file = argv[++k];
+    else if (std::strcmp(argv[k], "--check") == 0)
+      only_check = true;
+    else
+      return usage(std::string("can't use '") + argv[k] + "'");
+  }
+  if (only_check) return check(operator_file);
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
   try {
@@ -28,19 +71,30 @@
     EventBasePtr base(event_base_new_with_config(options.get()));
     if (!base) return complain("no event base");
     Router router(base.get(), config);
+    if (!operator_file.empty()) router.operate(load_operator_file(operator_file, &config));
     std::string error;
     if (!router.listen(error)) return complain("listen " + config.listen + ": " + error);
     auto on_signal = [](evutil_socket_t, short, void* r) { static_cast<Router*>(r)->stop(); };
     EventPtr term(evsignal_new(base.get(), SIGTERM, on_signal, &router));
     // A reload never ends the router: what goes wrong in it is logged, and all goes on as before.
-    auto on_reload = [](evutil_socket_t, short, void* r) {
+    Reload reload{&router, operator_file};
+    auto on_reload = [](evutil_socket_t, short, void* at) {
+      auto* r = static_cast<Reload*>(at);
       try {
-        static_cast<Router*>(r)->reload(reload_config());
+        Config config = reload_config();
+        // Both are read before either is used: a bad one changes nothing.
+        if (r->operator_file.empty()) {
+          r->router->reload(config);
+          return;
+        }
+        auto model = load_operator_file(r->operator_file, &config);
+        r->router->reload(config);
+        r->router->operate(std::move(model));
       } catch (const std::exception& e) {
         complain(std::string("reload: ") + e.what() + "; the old configuration is kept");
       }
     };
-    EventPtr hang_up(evsignal_new(base.get(), SIGHUP, on_reload, &router));
+    EventPtr hang_up(evsignal_new(base.get(), SIGHUP, on_reload, &reload));
     event_add(hang_up.get(), nullptr);
     EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
     event_add(term.get(), nullptr);
--- a/src/kit/config/command.cpp
+++ b/src/kit/config/command.cpp
@@ -1,11 +1,6 @@
 #include "command.hpp"
 
-#include <fcntl.h>
-#include <sys/stat.h>
-#include <unistd.h>
-
 #include <cstdio>
-#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -14,7 +9,7 @@
 
 #include "core/config/diff.hpp"
 #include "core/config/model.hpp"
-#include "net/io.hpp"
+#include "net/operator_file.hpp"
 
 namespace violetusher::kit {
 namespace {
@@ -24,43 +19,15 @@
 
 constexpr int kWrongInput = 2, kDiffers = 1;
 
-/// Reads an ordinary file of bounded size. Opened without waiting: a fifo has nobody at its other end.
-std::string read_file(const std::string& path, std::string& text) {
-  net::Fd fd(::open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC));
-  struct stat info {};
-  if (!fd || ::fstat(fd.get(), &info) != 0) return std::strerror(errno);
-  if (S_ISDIR(info.st_mode)) return "it is a folder";
-  if (!S_ISREG(info.st_mode)) return "it is no ordinary file";
-  if (static_cast<std::size_t>(info.st_size) > config::kMostBytes) return "it is larger than 16 MiB";
-  text.resize(static_cast<std::size_t>(info.st_size));
-  std::size_t have = 0;
-  while (have < text.size()) {
-    ssize_t got = ::read(fd.get(), text.data() + have, text.size() - have);
-    if (got <= 0) break;
-    have += static_cast<std::size_t>(got);
-  }
-  text.resize(have);
-  return "";
-}
-
-config::Loaded load(const std::string& from, const std::string& name) {
-  fs::path path = fs::path(name).is_absolute() ? fs::path(name) : fs::path(from).parent_path() / name;
-  config::Loaded loaded;
-  loaded.name = path.lexically_normal();
-  loaded.error = read_file(loaded.name, loaded.text);
-  return loaded;
-}
-
-std::optional<config::Compiled> compile(const std::string& path, bool show = true) {
-  std::string text, error = read_file(path, text);
+std::optional<config::Compiled> compile(const std::string& path) {
+  std::string error;
+  config::Compiled compiled = net::compile_file(path, error);
   if (!error.empty()) {
-    std::fprintf(stderr, "%s: %s\n", path.c_str(), error.c_str());
+    std::fprintf(stderr, "%s\n", error.c_str());
     return std::nullopt;
   }
-  config::Compiled compiled = config::compile(fs::path(path).lexically_normal(), text, load);
-  if (show)
-    for (const auto& d : compiled.diagnostics.list())
-      std::fprintf(stderr, "%s", compiled.sources.show(d).c_str());
+  for (const auto& d : compiled.diagnostics.list())
+    std::fprintf(stderr, "%s", compiled.sources.show(d).c_str());
   if (compiled.diagnostics.count() > compiled.diagnostics.list().size())
     std::fprintf(stderr, "and more: only the first %zu are shown\n", compiled.diagnostics.list().size());
   return compiled;
@@ -76,7 +43,7 @@
 }
 
 int format(const std::string& path, bool only_check, bool write) {
-  std::string text, error = read_file(path, text);
+  std::string text, error = net::read_plain_file(path, text);
   if (!error.empty()) {
     std::fprintf(stderr, "%s: %s\n", path.c_str(), error.c_str());
     return kWrongInput;
--- /dev/null
+++ b/src/net/operator_file.cpp
@@ -0,0 +1,91 @@
+#include "operator_file.hpp"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+
+#include "io.hpp"
+
+namespace violetusher::net {
+namespace {
+
+namespace fs = std::filesystem;
+namespace config = core::config;
+
+config::Loaded load(const std::string& from, const std::string& name) {
+  fs::path path = fs::path(name).is_absolute() ? fs::path(name) : fs::path(from).parent_path() / name;
+  config::Loaded loaded;
+  loaded.name = path.lexically_normal();
+  loaded.error = read_plain_file(loaded.name, loaded.text);
+  return loaded;
+}
+
+}  // namespace
+
+std::string read_plain_file(const std::string& path, std::string& text) {
+  // Opened without waiting: a fifo may have nobody at its other end.
+  Fd fd(::open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC));
+  struct stat info {};
+  if (!fd || ::fstat(fd.get(), &info) != 0) return std::strerror(errno);
+  if (S_ISDIR(info.st_mode)) return "it is a folder";
+  if (!S_ISREG(info.st_mode)) return "it is no ordinary file";
+  if (static_cast<std::size_t>(info.st_size) > config::kMostBytes) return "it is larger than 16 MiB";
+  text.resize(static_cast<std::size_t>(info.st_size));
+  std::size_t have = 0;
+  while (have < text.size()) {
+    ssize_t got = ::read(fd.get(), text.data() + have, text.size() - have);
+    if (got <= 0) break;
+    have += static_cast<std::size_t>(got);
+  }
+  text.resize(have);
+  return "";
+}
+
+core::config::Compiled compile_file(const std::string& path, std::string& error) {
+  std::string text;
+  error = read_plain_file(path, text);
+  if (!error.empty()) {
+    error = path + ": " + error;
+    return {};
+  }
+  return config::compile(fs::path(path).lexically_normal(), text, load);
+}
+
+core::config::Model load_operator_file(const std::string& path, const Config* settings) {
+  std::string error;
+  config::Compiled compiled = compile_file(path, error);
+  if (!error.empty()) throw ConfigError(error);
+  if (!compiled.diagnostics.none()) {
+    std::string all;
+    for (const auto& d : compiled.diagnostics.list()) all += compiled.sources.show(d);
+    throw ConfigError(all);
+  }
+  const config::Model& m = compiled.model;
+  // What is set and would have no effect is told, not ignored.
+  for (const auto& [name, listener] : m.listeners)
+    if (name != "main")
+      throw ConfigError(path + ": listener '" + name + "': only 'main' is served, at the address of the configuration");
+  if (!settings) return std::move(compiled.model);
+  const auto& classes = settings->settings.classes;
+  for (const auto& [name, c] : m.classes) {
+    auto it = std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == name; });
+    if (it == classes.end()) throw ConfigError(path + ": class '" + name + "' is none of the settings'");
+    if (c.keyed != (it->effect == violetusher::Effect::Keyed))
+      throw ConfigError(path + ": class '" + name + "': 'keyed' differs from the settings");
+    if (c.attempts > settings->settings.max_attempts)
+      throw ConfigError(path + ": class '" + name + "' has more attempts than the settings allow (" +
+                        std::to_string(settings->settings.max_attempts) + ")");
+  }
+  const auto& tenants = settings->settings.tenants;
+  for (const auto& [name, t] : m.tenants)
+    if (!tenants.empty() && std::none_of(tenants.begin(), tenants.end(), [&](const auto& k) { return k.name == name; }))
+      throw ConfigError(path + ": tenant '" + name + "' is none of the settings'");
+  return std::move(compiled.model);
+}
+
+}  // namespace violetusher::net
--- /dev/null
+++ b/src/net/operator_file.hpp
@@ -0,0 +1,22 @@
+// Operator files from disk: read with bounds, compiled, and held against what this daemon serves.
+#pragma once
+
+#include <string>
+
+#include "config.hpp"
+#include "core/config/model.hpp"
+
+namespace violetusher::net {
+
+/// The whole of an ordinary file of at most `core::config::kMostBytes`; returns what is wrong, empty
+/// where nothing is. Never waits: a fifo is turned away.
+std::string read_plain_file(const std::string& path, std::string& text);
+
+/// Reads and compiles a file and what it includes. Where it can't be read, `error` says so.
+core::config::Compiled compile_file(const std::string& path, std::string& error);
+
+/// The model of a file that this daemon can serve with these settings. Throws ConfigError with all
+/// messages, each with file, line and column. `config` may be null: then only the file is checked.
+core::config::Model load_operator_file(const std::string& path, const Config* config);
+
+}  // namespace violetusher::net
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -54,9 +54,10 @@
   return l;
 }
 
-violetusher::Balancer make_balancer(const Config& c, Micros now) {
+/// Each pool's module draws from a seed of its own; that of the whole list from the router's.
+std::unique_ptr<violetusher::Balancer> make_balancer(const Config& c, std::uint32_t pool, Micros now) {
   try {
-    return violetusher::Balancer(c.settings, c.seed, now);
+    return std::make_unique<violetusher::Balancer>(c.settings, c.seed + pool * 0x9e3779b97f4a7c15ull, now);
   } catch (const std::invalid_argument& e) {
     throw ConfigError(std::string("settings: ") + e.what());
   }
@@ -80,7 +81,6 @@
 Router::Router(event_base* base, const Config& config)
     : base_(base),
       config_(config),
-      balancer_(make_balancer(config, clock_.now())),
       max_open_(std::min<std::size_t>(config.memory_bytes / kOpenPart / kOpenBytes,
                                       static_cast<std::size_t>(config.links.max_open))),
       max_open_bytes_(config.memory_bytes / kOpenPart),
@@ -90,8 +90,118 @@
   timer_event_.reset(event_new(base, -1, 0, on_timer, this));
   stop_event_.reset(event_new(base, -1, 0, on_stop_step, this));
   servers_.take_list(config_.known);
-  perform(balancer_.start(clock_.now()));
-  events_.push_back(ListEvent{ListScope::Cached, servers_of(config_.known)});
+  hosts_ = config_.known;
+  auto& whole = pools_[0] = std::make_unique<Pool>();
+  whole->balancer = make_balancer(config_, 0, clock_.now());
+  perform(0, whole->balancer->start(clock_.now()));
+  events_.push_back(ListEvent{0, ListScope::Cached, servers_of(config_.known)});
+}
+
+void Router::operate(core::config::Model model) {
+  traffic_ = std::make_shared<core::Traffic>(std::move(model), traffic_.get());
+  const auto& wanted = traffic_->model().pools;
+  // A pool stays itself, with what its module has learnt, while it selects the same servers.
+  for (auto it = pool_numbers_.begin(); it != pool_numbers_.end();) {
+    auto now = wanted.find(it->first);
+    Pool& pool = *pools_[it->second];
+    bool same = now != wanted.end() && now->second.halls == pool.selection.halls &&
+                now->second.kinds == pool.selection.kinds && now->second.hosts == pool.selection.hosts &&
+                now->second.blocks == pool.selection.blocks && now->second.servers == pool.selection.servers;
+    if (same) {
+      ++it;
+    } else {
+      pool.leaving = true;
+      it = pool_numbers_.erase(it);
+    }
+  }
+  for (const auto& [name, selection] : wanted) {
+    if (pool_numbers_.count(name)) continue;
+    std::uint32_t number = next_pool_++;
+    auto& pool = pools_[number] = std::make_unique<Pool>();
+    pool_numbers_[name] = number;
+    pool->name = name;
+    pool->selection = selection;
+    pool->balancer = make_balancer(config_, number, clock_.now());
+    perform(number, pool->balancer->start(clock_.now()));
+    if (selection.servers.empty()) {
+      tell_list(number, *pool, ListScope::Full, servers_of(hosts_));
+      continue;
+    }
+    std::vector<violetusher::Server> members;
+    for (const std::string& address : selection.servers) {
+      violetusher::Server server;
+      server.id = address;
+      server.zone = config_.settings.zone;
+      members.push_back(server);
+      pool->members[address] = violetusher::Health::Ready;
+    }
+    events_.push_back(ListEvent{number, ListScope::Full, std::move(members)});
+  }
+  HostList list = hosts_;
+  list.whole = true;
+  servers_.take_list(with_static_servers(std::move(list)));
+  forget_pools();
+}
+
+/// Pools with fixed servers need them in the list of connections, whatever discovery says.
+HostList Router::with_static_servers(HostList list) const {
+  if (!list.whole) return list;
+  std::unordered_set<std::string> there;
+  for (const Host& host : list.hosts) there.insert(host.server.id);
+  for (const auto& [number, pool] : pools_)
+    for (const std::string& address : pool->selection.servers)
+      if (there.insert(address).second) {
+        Host host;
+        host.server.id = host.dial = address;
+        list.hosts.push_back(host);
+      }
+  return list;
+}
+
+/// What of a list concerns a pool, told to its module. What left concerns all that had it.
+void Router::tell_list(std::uint32_t number, Pool& pool, ListScope scope,
+                       const std::vector<violetusher::Server>& servers) {
+  if (!pool.selection.servers.empty()) return;
+  if (scope == ListScope::Full) pool.members.clear();
+  std::vector<violetusher::Server> mine;
+  for (const violetusher::Server& server : servers) {
+    bool gone = server.health == violetusher::Health::Gone;
+    if (gone ? pool.members.count(server.id) == 0 : !core::selected(pool.selection, server)) continue;
+    if (gone)
+      pool.members.erase(server.id);
+    else
+      pool.members[server.id] = server.health;
+    mine.push_back(server);
+  }
+  events_.push_back(ListEvent{number, scope, std::move(mine)});
+}
+
+Router::Pool* Router::pool_by_name(const std::string& name) const {
+  auto it = pool_numbers_.find(name);
+  return it == pool_numbers_.end() ? nullptr : pools_.at(it->second).get();
+}
+
+bool Router::has_live(const std::string& name) const {
+  const Pool* pool = pool_by_name(name);
+  return pool && std::any_of(pool->members.begin(), pool->members.end(), [](const auto& m) {
+           return m.second == violetusher::Health::Ready;
+         });
+}
+
+/// Price caches of the discovery list drop one another's repeats where the class's group is all of
+/// them; fixed addresses are not known to belong to it.
+bool Router::shares_repeats(const std::string& name) const {
+  const Pool* pool = pool_by_name(name);
+  if (!pool || !pool->selection.servers.empty()) return false;
+  for (const auto& c : config_.settings.classes)
+    if (c.effect == violetusher::Effect::Keyed && c.group != violetusher::Group::All) return false;
+  return true;
+}
+
+/// Frees pools that no version has any more and no request is in.
+void Router::forget_pools() {
+  for (auto it = pools_.begin(); it != pools_.end();)
+    it = it->second->leaving && it->second->open == 0 ? pools_.erase(it) : std::next(it);
 }
 
 bool Router::listen(std::string& error) {
@@ -195,8 +305,37 @@
   Open& open = open_.try_emplace(id, std::move(command)).first->second;
   open.slot = &slot;
   open.deadline = clock_.now() + wait;
+  if (!admit(slot, open, type->effect == violetusher::Effect::Keyed)) return;
+  ++pools_[open.pool]->open;
   open.untold = 1;
-  events_.push_back(RequestEvent{id});
+  events_.push_back(RequestEvent{open.pool, id});
+}
+
+/// Route, pool and limits where an operator file is in use. What is over a limit, or has no route, is
+/// refused at once and forgotten.
+bool Router::admit(ClientSlot& slot, Open& open, bool keyed) {
+  if (!traffic_) return true;
+  const Command& c = open.command;
+  core::RouteRequest request{"main", c.tenant, c.type, c.key};
+  auto decision = traffic_->admit(clock_.now(), request, keyed, *this);
+  if (decision.admitted) {
+    open.traffic = traffic_;
+    open.ticket = std::move(decision.ticket);
+    open.pool = pool_numbers_.at(*open.ticket.pool);
+    return true;
+  }
+  std::string text = kBusy;
+  if (config_.settings.retry_after && decision.come_back > 0) {
+    Micros wait = std::min(decision.come_back, config_.settings.max_retry_after);
+    text = "SERVER_ERROR busy " + std::to_string((wait + kMillisecond - 1) / kMillisecond) + "\r\n";
+  }
+  RequestId id = slot.id;
+  slot.id = 0;  // nobody is told when its connection goes
+  open_ids_.erase(c.id);
+  open_bytes_ -= c.size();
+  open_.erase(id);
+  clients_.answer(slot, std::move(text));
+  return false;
 }
 
 /// A client that closes has gone away (PROTOCOL), and from here its close looks like one of its
@@ -216,12 +355,13 @@
   Open& open = it->second;
   open.slot = nullptr;
   open.answered = true;
+  end_ticket(open, false);
   tell_gone(id, open);
 }
 
 void Router::tell_gone(RequestId id, Open& open) {
   ++open.untold;
-  events_.push_back(GoneEvent{id});
+  events_.push_back(GoneEvent{open.pool, id});
 }
 
 // ---- cache servers ----
@@ -251,12 +391,35 @@
 // ---- discovery ----
 
 void Router::on_hosts(HostList&& list) {
-  servers_.take_list(list);
-  events_.push_back(
-      ListEvent{list.whole ? ListScope::Full : ListScope::Delta, servers_of(list)});
+  ListScope scope = list.whole ? ListScope::Full : ListScope::Delta;
+  std::vector<violetusher::Server> servers = servers_of(list);
+  for (auto& [number, pool] : pools_)
+    if (number != 0) tell_list(number, *pool, scope, servers);
+  events_.push_back(ListEvent{0, scope, std::move(servers)});
+  servers_.take_list(with_static_servers(list));
+  // Kept for pools that a later operator file makes.
+  if (list.whole) {
+    hosts_ = std::move(list);
+    return;
+  }
+  hosts_.version = list.version;
+  for (Host& host : list.hosts) {
+    auto old = std::find_if(hosts_.hosts.begin(), hosts_.hosts.end(),
+                            [&](const Host& h) { return h.server.id == host.server.id; });
+    bool gone = host.server.health == violetusher::Health::Gone;
+    if (old == hosts_.hosts.end()) {
+      if (!gone) hosts_.hosts.push_back(std::move(host));
+    } else if (gone) {
+      hosts_.hosts.erase(old);
+    } else {
+      *old = std::move(host);
+    }
+  }
 }
 
-void Router::on_hosts_failed() { events_.push_back(ListEvent{ListScope::Failed, {}}); }
+void Router::on_hosts_failed() {
+  for (const auto& [number, pool] : pools_) events_.push_back(ListEvent{number, ListScope::Failed, {}});
+}
 
 // ---- timers ----
 
@@ -264,8 +427,8 @@
   static_cast<Router*>(self)->armed_at_ = 0;  // run() rings what is due
 }
 
-void Router::set_timer(Micros at, Due due, std::uint64_t token, int attempt) {
-  timers_.push({at, timer_order_++, due, token, attempt});
+void Router::set_timer(Micros at, Due due, std::uint64_t token, int attempt, std::uint32_t pool) {
+  timers_.push({at, timer_order_++, due, token, attempt, pool});
 }
 
 void Router::arm() {
@@ -281,7 +444,7 @@
     Timer t = timers_.top();
     timers_.pop();
     if (t.due == Due::Module)
-      events_.push_back(TimerEvent{t.token});
+      events_.push_back(TimerEvent{t.pool, t.token});
     else
       expire(t.token, t.attempt);
   }
@@ -316,7 +479,9 @@
 void Router::tell_outcome(RequestId id, Open& open, int attempt, Status status, Answer* answer) {
   Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
   a.out = false;
+  a.may_have_run = status != Status::Full && status != Status::ConnectFailed && status != Status::Moot;
   OutcomeEvent e;
+  e.pool = open.pool;
   e.outcome.id = id;
   e.outcome.server = a.server;
   e.outcome.status = status;
@@ -332,14 +497,24 @@
 
 void Router::settle() {
   while (!events_.empty()) {
+    // Not from within a call of the module that is freed with it.
+    if (!freed_.empty()) {
+      freed_.clear();
+      forget_pools();
+      if (events_.empty()) break;
+    }
     Event event = std::move(events_.front());
     events_.pop_front();
     Micros now = clock_.now();
+    std::uint32_t number = std::visit([](const auto& e) { return e.pool; }, event);
+    auto pool = pools_.find(number);
+    if (pool == pools_.end()) continue;  // its last timer, or a list that came too late for it
+    violetusher::Balancer& balancer = *pool->second->balancer;
     if (auto* e = std::get_if<OutcomeEvent>(&event)) {
       auto it = open_.find(e->outcome.id);
       e->outcome.finished = it == open_.end() || it->second.answered;
       if (it != open_.end()) --it->second.untold;
-      perform(balancer_.on_outcome(now, e->outcome));
+      perform(number, balancer.on_outcome(now, e->outcome));
       forget_if_done(e->outcome.id);
     } else if (auto* e = std::get_if<RequestEvent>(&event)) {
       auto it = open_.find(e->id);
@@ -360,20 +535,21 @@
       r.repeat = open.command.repeat;
       r.write = open.command.set;
       set_timer(open.deadline, Due::Expiry, e->id, -1);
-      perform(balancer_.on_request(now, r));
+      perform(number, balancer.on_request(now, r));
     } else if (auto* e = std::get_if<GoneEvent>(&event)) {
       if (auto it = open_.find(e->id); it != open_.end()) --it->second.untold;
-      perform(balancer_.on_gone(now, e->id));
+      perform(number, balancer.on_gone(now, e->id));
       forget_if_done(e->id);
     } else if (auto* e = std::get_if<ListEvent>(&event)) {
-      perform(balancer_.on_list(now, e->scope, e->servers));
+      perform(number, balancer.on_list(now, e->scope, e->servers));
     } else if (auto* e = std::get_if<TimerEvent>(&event)) {
-      perform(balancer_.on_timer(now, e->token));
+      perform(number, balancer.on_timer(now, e->token));
     }
   }
 }
 
-void Router::perform(const Actions& actions) {
+void Router::perform(std::uint32_t pool, const Actions& actions) {
+  acting_ = pool;
   for (const violetusher::Action& action : actions)
     std::visit([this](const auto& a) { act(a); }, action);
 }
@@ -384,6 +560,11 @@
   Open& open = it->second;
   int attempt = static_cast<int>(open.attempts.size());
   Micros now = clock_.now();
+  if (open.traffic && !open.answered && !within_budget(a.id, open)) {
+    open.attempts.push_back({a.server, now});
+    tell_outcome(a.id, open, attempt, Status::Moot, nullptr);
+    return;
+  }
   open.attempts.push_back({a.server, now});
   // An answer may have come while the module did not know of it yet.
   if (open.answered || now >= open.deadline) {
@@ -398,12 +579,32 @@
   servers_.send(a.server, a.id, attempt, open.command, (wait + kMillisecond - 1) / kMillisecond);
 }
 
+/// The budget's word on another attempt. Where it says no and nothing else is under way, the request
+/// gets its final answer now: a refusal only where trying again is harmless.
+bool Router::within_budget(RequestId id, Open& open) {
+  Micros now = clock_.now();
+  if (open.attempts.empty()) {
+    open.traffic->on_first(now, open.ticket);
+    return true;
+  }
+  bool hedge = std::any_of(open.attempts.begin(), open.attempts.end(), [](const Attempt& a) { return a.out; });
+  if (open.traffic->may_retry(now, open.ticket, hedge)) return true;
+  if (hedge) return false;
+  bool ran = std::any_of(open.attempts.begin(), open.attempts.end(), [](const Attempt& a) { return a.may_have_run; });
+  if (ran && open.command.idempotent)
+    give_answer(open, kFailed);
+  else
+    give_answer(open, kBusy, true);
+  tell_gone(id, open);
+  return false;
+}
+
 void Router::act(const violetusher::Refuse& a) {
   auto it = open_.find(a.id);
   if (it == open_.end() || it->second.answered) return;
   std::string text = "SERVER_ERROR busy";
   if (a.wait > 0) text += ' ' + std::to_string((a.wait + kMillisecond - 1) / kMillisecond);
-  give_answer(it->second, text + "\r\n");
+  give_answer(it->second, text + "\r\n", true);
   forget_if_done(a.id);
 }
 
@@ -426,15 +627,20 @@
 }
 
 void Router::act(const violetusher::Timer& a) {
-  set_timer(clock_.now() + a.after, Due::Module, a.token);
+  set_timer(clock_.now() + a.after, Due::Module, a.token, 0, acting_);
 }
 
 void Router::act(const violetusher::Probe&) {
   // The module probes nothing; no site it was made for allows it.
 }
 
-void Router::give_answer(Open& open, std::string text) {
+void Router::end_ticket(Open& open, bool refused) {
+  if (open.traffic) open.traffic->end(clock_.now(), open.ticket, refused);
+}
+
+void Router::give_answer(Open& open, std::string text, bool refused) {
   open.answered = true;
+  end_ticket(open, refused);
   if (ClientSlot* slot = std::exchange(open.slot, nullptr)) clients_.answer(*slot, std::move(text));
 }
 
@@ -447,7 +653,10 @@
     if (a.out) return;
   open_ids_.erase(open.command.id);
   open_bytes_ -= open.command.size();
+  std::uint32_t number = open.pool;
   open_.erase(it);
+  auto pool = pools_.find(number);
+  if (pool != pools_.end() && --pool->second->open == 0 && pool->second->leaving) freed_.push_back(number);
 }
 
 }  // namespace violetusher::net
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <deque>
+#include <map>
+#include <memory>
 #include <queue>
 #include <unordered_map>
 #include <unordered_set>
@@ -11,13 +13,17 @@
 
 #include "client_side.hpp"
 #include "config.hpp"
+#include "core/route/traffic.hpp"
 #include "discovery.hpp"
 #include "io.hpp"
 #include "server_side.hpp"
 
 namespace violetusher::net {
 
-class Router final : ClientSide::Handler, ServerSide::Handler, Discovery::Handler {
+class Router final : ClientSide::Handler,
+                     ServerSide::Handler,
+                     Discovery::Handler,
+                     core::Traffic::PoolState {
  public:
   /// Throws ConfigError when the configuration can't be used.
   Router(event_base* base, const Config& config);
@@ -31,7 +37,12 @@
   /// Takes over a new configuration while running: where discovery is. What else differs needs a
   /// restart and is logged. One that can't be used is logged, and the old one kept.
   void reload(const Config& config);
+  /// Takes over an operator file's model, at the start or while running: what comes from now on goes
+  /// by it. Requests that are open finish on the route and in the pool that they began with; pools
+  /// that are gone end with their last request.
+  void operate(core::config::Model model);
   std::uint16_t port() const { return clients_.port(); }
+  std::size_t pools() const { return pools_.size(); }
   std::size_t open_requests() const { return open_.size(); }
   std::size_t client_connections() const { return clients_.connections(); }
   std::size_t server_pools() const { return servers_.pools(); }
@@ -42,6 +53,7 @@
     std::string server;
     Micros sent = 0;
     bool out = true;  // its outcome has not been told to the module
+    bool may_have_run = false;
   };
   struct Open {
     explicit Open(Command&& c) : command(std::move(c)) {}
@@ -51,22 +63,39 @@
     bool answered = false;   // the final answer is given, or nobody is left to get one
     int untold = 0;          // events of it on their way to the module
     std::vector<Attempt> attempts;
+    std::uint32_t pool = 0;
+    std::shared_ptr<core::Traffic> traffic;  // none where no operator file is in use
+    core::Traffic::Ticket ticket;
+  };
+  /// One pool: a selection of the list with a decision module of its own.
+  struct Pool {
+    std::string name;
+    core::config::Pool selection;
+    std::unique_ptr<violetusher::Balancer> balancer;
+    std::unordered_map<std::string, violetusher::Health> members;
+    std::size_t open = 0;  // requests that it has
+    bool leaving = false;  // no version of the operator file has it any more
   };
   // What waits for its turn to be told to the module.
   struct OutcomeEvent {
+    std::uint32_t pool;
     violetusher::Outcome outcome;
   };
   struct RequestEvent {
+    std::uint32_t pool;
     RequestId id;
   };
   struct GoneEvent {
+    std::uint32_t pool;
     RequestId id;
   };
   struct ListEvent {
+    std::uint32_t pool;
     violetusher::ListScope scope;
     std::vector<violetusher::Server> servers;
   };
   struct TimerEvent {
+    std::uint32_t pool;
     std::uint64_t token;
   };
   using Event = std::variant<OutcomeEvent, RequestEvent, GoneEvent, ListEvent, TimerEvent>;
@@ -78,6 +107,7 @@
     Due due;
     std::uint64_t token;  // the module's, or a request id
     int attempt;
+    std::uint32_t pool;
     bool operator>(const Timer& o) const { return at != o.at ? at > o.at : order > o.order; }
   };
 
@@ -96,20 +126,32 @@
 
   void ring();
   void arm();
-  void set_timer(Micros at, Due due, std::uint64_t token, int attempt = 0);
+  void set_timer(Micros at, Due due, std::uint64_t token, int attempt = 0, std::uint32_t pool = 0);
   /// Tells the module what has happened and carries out what it answers, until nothing is left.
   void settle();
-  void perform(const violetusher::Actions& actions);
+  void perform(std::uint32_t pool, const violetusher::Actions& actions);
   void act(const violetusher::Send& a);
   void act(const violetusher::Refuse& a);
   void act(const violetusher::Fail& a);
   void act(const violetusher::Cancel& a);
-  void act(const violetusher::Watch&) { discovery_.watch(); }
-  void act(const violetusher::Fetch&) { discovery_.fetch(); }
+  // The list is asked for on behalf of all pools by the one that has all of it.
+  void act(const violetusher::Watch&) { if (acting_ == 0) discovery_.watch(); }
+  void act(const violetusher::Fetch&) { if (acting_ == 0) discovery_.fetch(); }
   void act(const violetusher::Timer& a);
   void act(const violetusher::Probe& a);
   void expire(RequestId id, int attempt);
-  void give_answer(Open& open, std::string text);
+  void give_answer(Open& open, std::string text, bool refused = false);
+  void end_ticket(Open& open, bool refused);
+  bool admit(ClientSlot& slot, Open& open, bool keyed);
+  bool within_budget(RequestId id, Open& open);
+  // core::Traffic::PoolState
+  bool has_live(const std::string& pool) const override;
+  bool shares_repeats(const std::string& pool) const override;
+  Pool* pool_by_name(const std::string& name) const;
+  void tell_list(std::uint32_t number, Pool& pool, violetusher::ListScope scope,
+                 const std::vector<violetusher::Server>& servers);
+  HostList with_static_servers(HostList list) const;
+  void forget_pools();
   void tell_gone(RequestId id, Open& open);
   void fail_all();
   void tell_outcome(RequestId id, Open& open, int attempt, Status status, Answer* answer);
@@ -118,7 +160,12 @@
   event_base* base_;
   Config config_;
   Clock clock_;
-  violetusher::Balancer balancer_;
+  std::map<std::uint32_t, std::unique_ptr<Pool>> pools_;  // 0 has the whole list and always is
+  std::unordered_map<std::string, std::uint32_t> pool_numbers_;  // of those not leaving
+  std::uint32_t next_pool_ = 1, acting_ = 0;
+  std::vector<std::uint32_t> freed_;  // pools whose last request has gone, freed between events
+  std::shared_ptr<core::Traffic> traffic_;
+  HostList hosts_;  // as discovery has told it, kept only while an operator file is in use
   std::unordered_map<RequestId, Open> open_;
   std::unordered_set<std::string> open_ids_;  // the clients' ids of the requests in open_
   std::size_t open_bytes_ = 0;                // what their commands hold
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -210,6 +210,7 @@
   int sockets = 256;
   int memory_mb = 32;
   std::string deadline_us = "2000000", aim_us = "1000000";
+  bool retry_after = false;
 };
 
 inline std::string config_text(const RouterOptions& o) {
@@ -228,7 +229,8 @@
          R"("MembershipMode":"automatic","Classes":[)" + one_class("read", "repeatable") + "," +
          one_class("put", "by_key") +
          R"(],"Tenants":[{"Name":"acme","Portion":1.0,"QuotaPerS":100000}],)" +
-         R"("Limits":{"MaxAttempts":5,"MayCancel":true,"SecondCopies":true},)" +
+         R"("Limits":{"MaxAttempts":5,"MayCancel":true,"SecondCopies":true,"RetryAfter":)" +
+         (o.retry_after ? "true" : "false") + R"(,"MaxRetryAfterUs":1000000},)" +
          R"("Report":{"How":"inline","Fields":["load_share"]}}})";
 }
 
--- /dev/null
+++ b/tests/net/operator_test.cpp
@@ -0,0 +1,242 @@
+// Routes, pools, limits and budgets of an operator file on real sockets.
+#include "net_support.hpp"
+
+#include <sys/wait.h>
+
+#include <fstream>
+
+#include "net/operator_file.hpp"
+
+namespace violetusher::net::test {
+namespace {
+
+core::config::Model model_of(const std::string& text) {
+  auto compiled = core::config::compile("f", "version 1;\n" + text, [](const std::string&, const std::string&) {
+    return core::config::Loaded{"", "", "none"};
+  });
+  for (const auto& d : compiled.diagnostics.list()) ADD_FAILURE() << compiled.sources.show(d);
+  return compiled.model;
+}
+
+std::string pool(const std::string& name, const LineServer& server, const std::string& more = "") {
+  return "pool " + name + " { servers = [\"" + server.address() + "\"]; " + more + "}\n";
+}
+
+LineServer::Reply serves(const std::string& value) {
+  return [value](const std::string& line, int) { return value_for(line, value); };
+}
+
+std::string ask(std::uint16_t port, const std::string& id, const std::string& key = "k1") {
+  Client client(port);
+  client.send(read_command(id, key));
+  std::string line = client.line();
+  return line.rfind("VA", 0) == 0 ? client.line() : line;
+}
+
+void operate(RunningRouter& router, const std::string& text) {
+  auto model = model_of(text);
+  router.post([&](Router& r) { r.operate(model); });
+}
+
+TEST(Operator, RoutesByPrefixAndClassToTheirPools) {
+  LineServer a(serves("from-a")), b(serves("from-b")), listed(serves("listed"));
+  RunningRouter router({.dials = {listed.address()}});
+  operate(router, "class read { attempts = 2; }\n" + pool("pa", a) + pool("pb", b) + "pool all { }\n" +
+                      "route one { prefix = \"a:\"; pool = pa; }\nroute two { class = read; prefix = \"b:\"; pool = pb; }\n"
+                      "route rest { class = read; pool = all; }\n");
+  EXPECT_EQ(ask(router.port(), "1", "b:x"), "from-b");
+  EXPECT_EQ(ask(router.port(), "2", "z"), "listed");
+  EXPECT_EQ(ask(router.port(), "3", "a:x"), "listed");  // the class comes before the prefix
+  EXPECT_EQ(a.lines().size(), 0u);
+}
+
+TEST(Operator, NoRouteIsRefusedAtOnce) {
+  LineServer listed(good_cache);
+  RunningRouter router({.dials = {listed.address()}});
+  operate(router, "pool p { }\nroute r { prefix = \"a:\"; pool = p; }\n");
+  EXPECT_EQ(ask(router.port(), "1", "z"), "SERVER_ERROR busy");
+  EXPECT_EQ(listed.lines().size(), 0u);
+  EXPECT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 0; }));
+  EXPECT_EQ(ask(router.port(), "1", "a:z"), "price");  // the id is free again
+}
+
+TEST(Operator, SelectsItsPoolFromTheList) {
+  LineServer one(serves("one")), two(serves("two"));
+  RunningRouter router({.dials = {one.address(), two.address()}});
+  operate(router, "pool p { hosts = [\"*-1\"]; }\nroute r { pool = p; }\n");
+  for (int k = 0; k < 10; ++k)
+    EXPECT_EQ(ask(router.port(), std::to_string(k), "key" + std::to_string(k)), "two");
+  EXPECT_EQ(one.lines().size(), 0u);
+}
+
+TEST(Operator, OverTheRateIsRefusedWithTheTimeWhereAllowed) {
+  LineServer listed(good_cache);
+  RouterOptions options{.dials = {listed.address()}};
+  options.retry_after = true;
+  RunningRouter router(options);
+  operate(router, "tenant acme { limit = slow; }\nlimit slow { rate = 1/s; burst = 3; }\npool p { }\nroute r { pool = p; }\n");
+  int served = 0, refused = 0;
+  for (int k = 0; k < 6; ++k) {
+    std::string answer = ask(router.port(), std::to_string(k));
+    served += answer == "price";
+    if (answer.rfind("SERVER_ERROR busy ", 0) == 0) {
+      ++refused;
+      int ms = std::stoi(answer.substr(18));
+      EXPECT_GT(ms, 0);
+      EXPECT_LE(ms, 1000);
+    }
+  }
+  EXPECT_GE(served, 3);
+  EXPECT_EQ(served + refused, 6);
+  EXPECT_EQ(listed.lines().size(), static_cast<std::size_t>(served));
+}
+
+TEST(Operator, InFlightIsFreedHoweverARequestEnds) {
+  LineServer silent([](const std::string&, int) { return std::string(); });
+  RunningRouter router({.dials = {silent.address()}});
+  operate(router, "limit few { in_flight = 2; }\npool p { limit = few; }\nroute r { pool = p; }\n");
+  {
+    Client a(router.port()), b(router.port());
+    a.send(read_command("a"));
+    b.send(read_command("b", "k1", "200"));
+    ASSERT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 2; }));
+    EXPECT_EQ(ask(router.port(), "c"), "SERVER_ERROR busy");
+    EXPECT_NE(b.line(), "");  // its time is over; a leaves
+  }
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 0; }));
+  Client c(router.port()), d(router.port());
+  c.send(read_command("c"));
+  d.send(read_command("d"));
+  EXPECT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 2; }));
+}
+
+TEST(Operator, ABudgetOfNothingAllowsNoRetry) {
+  auto fails = [](const std::string&, int) { return std::string("SERVER_ERROR busy\r\n"); };
+  for (bool budget : {false, true}) {
+    LineServer one(fails), two(fails);
+    RunningRouter router({.dials = {one.address(), two.address()}});
+    operate(router, "budget none { retries = 0%; }\npool p { " + std::string(budget ? "budget = none; " : "") + "}\nroute r { pool = p; }\n");
+    std::string answer = ask(router.port(), "1");
+    EXPECT_EQ(answer.rfind("SERVER_ERROR", 0), 0u);
+    std::size_t attempts = one.lines().size() + two.lines().size();
+    if (budget)
+      EXPECT_EQ(attempts, 1u);
+    else
+      EXPECT_GT(attempts, 1u);
+  }
+}
+
+TEST(Operator, FallsOverWhereTheFirstPoolHasNobody) {
+  LineServer second(serves("second"));
+  RunningRouter router({});
+  operate(router, "pool first { halls = [nowhere]; }\n" + pool("other", second) +
+                      "route r { pool = first; fallbacks = [other]; }\n");
+  EXPECT_EQ(ask(router.port(), "1"), "second");
+  // A keyed write may have run in the first pool: fixed addresses don't drop its repeats.
+  Client client(router.port());
+  client.send("ms k 2 O2 Pc=put,t=acme,d=300,k=s1\r\nhi\r\n");
+  EXPECT_EQ(client.line().rfind("SERVER_ERROR", 0), 0u);
+  EXPECT_EQ(second.lines().size(), 1u);
+}
+
+/// Requests that are out finish in the pool that they began in; pools that go are freed.
+TEST(Operator, ReloadsFiftyTimesUnderLoadAndLosesNothing) {
+  std::atomic<bool> stop{false};
+  std::atomic<int> asked{0}, served{0};
+  auto slow = [](const std::string& line, int) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    return value_for(line);
+  };
+  LineServer a(slow), b(slow);
+  RunningRouter router({});
+  auto version = [&](int k) {
+    return pool("p" + std::to_string(k), k % 2 ? a : b) + "route r { pool = p" + std::to_string(k) + "; }\n";
+  };
+  operate(router, version(0));
+  std::vector<std::thread> clients;
+  for (int c = 0; c < 4; ++c)
+    clients.emplace_back([&, c] {
+      Client client(router.port());
+      for (int k = 0; !stop; ++k) {
+        client.send(read_command("c" + std::to_string(c) + "-" + std::to_string(k), "key" + std::to_string(k % 50)));
+        ++asked;
+        if (client.line().rfind("VA", 0) == 0 && client.line() == "price") ++served;
+      }
+    });
+  for (int k = 1; k <= 50; ++k) {
+    operate(router, version(k));
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  stop = true;
+  for (auto& t : clients) t.join();
+  EXPECT_GT(asked, 200);
+  EXPECT_EQ(served, asked);
+  EXPECT_GT(a.lines().size(), 20u);
+  EXPECT_GT(b.lines().size(), 20u);
+  // That of the whole list and the one in use are left once nothing is out.
+  operate(router, version(50));
+  EXPECT_TRUE(router.eventually([](Router& r) { return r.pools() == 2 && r.open_requests() == 0; }));
+}
+
+TEST(Operator, APoolEmptiedByDiscoveryIsRefilled) {
+  LineServer cache(good_cache);
+  std::atomic<int> seq{1};
+  std::atomic<bool> there{false};
+  LineServer discovery([&](const std::string& line, int) -> std::string {
+    if (line.rfind("GET", 0) != 0) return "";
+    std::string body = host_list(std::to_string(seq), there ? std::vector<std::string>{host_entry("s-9", cache.address())}
+                                                              : std::vector<std::string>{});
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body;
+  });
+  RouterOptions options;
+  options.discovery = discovery.address();
+  RunningRouter router(options);
+  operate(router, "pool p { hosts = [\"s-*\"]; }\nroute r { pool = p; }\n");
+  EXPECT_EQ(ask(router.port(), "1").rfind("SERVER_ERROR", 0), 0u);
+  there = true;
+  ++seq;
+  Config config = router.config();
+  router.post([&](Router& r) { r.reload(config); });  // asks for the whole list
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.server_pools() == 1; }));
+  EXPECT_EQ(ask(router.port(), "2"), "price");
+}
+
+int run(const std::vector<std::string>& arguments, const std::string& config = "") {
+  pid_t child = ::fork();
+  if (child == 0) {
+    if (config.empty()) ::unsetenv("NODE_CONFIG");
+    else ::setenv("NODE_CONFIG", config.c_str(), 1);
+    std::vector<char*> argv{const_cast<char*>(VIOLETUSHER_PROGRAM)};
+    for (const auto& a : arguments) argv.push_back(const_cast<char*>(a.c_str()));
+    argv.push_back(nullptr);
+    ::execv(VIOLETUSHER_PROGRAM, argv.data());
+    ::_exit(127);
+  }
+  int status = 0;
+  ::waitpid(child, &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+TEST(Program, ChecksWithoutStarting) {
+  std::string base = ::testing::TempDir() + "/operator-" + std::to_string(::getpid());
+  auto write = [&](const std::string& name, const std::string& text) {
+    std::ofstream(base + name) << text;
+    return base + name;
+  };
+  std::string config = write(".json", config_text({}));
+  std::string good = write("-good", "version 1;\nclass read { attempts = 2; }\npool p { }\nroute r { pool = p; }\n");
+  EXPECT_EQ(run({"--check", "--operator", good}), 0);
+  EXPECT_EQ(run({"--check", "--operator", good}, config), 0);
+  EXPECT_EQ(run({"--check"}, config), 0);
+  EXPECT_EQ(run({"--check"}), 2);
+  EXPECT_EQ(run({"--check", "--operator", write("-bad", "version 1;\nroute r { pool = p; }\n")}), 2);
+  EXPECT_EQ(run({"--check", "--operator", write("-class", "version 1;\nclass other { attempts = 2; }\n")}, config), 2);
+  EXPECT_EQ(run({"--check", "--operator", write("-listener", "version 1;\nlistener side { address = \"127.0.0.1:1\"; }\n")}), 2);
+  EXPECT_EQ(run({"--check", "--operator", base + "-none"}), 2);
+  EXPECT_EQ(run({"--check", "--operator", "/tmp"}), 2);
+  EXPECT_EQ(run({"--operator"}), 2);
+  EXPECT_EQ(run({"--nonsense"}), 2);
+}
+
+}  // namespace
+}  // namespace violetusher::net::test
