--- a/src/kit/rehearse/day.cpp
+++ b/src/kit/rehearse/day.cpp
@@ -141,6 +141,22 @@
   t.finish();
 }
 
+/// The text of an operator file that stands beside the day. It reaches the routers as a memory file, so
+/// it can't include others.
+std::string operator_of(TableReader& t, const Day& day) {
+  std::string name = t.text("operator", "");
+  if (name.empty()) return name;
+  std::size_t slash = day.file.rfind('/');
+  std::string path = name[0] == '/' || slash == day.file.npos ? name : day.file.substr(0, slash + 1) + name;
+  struct stat info {};
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream text;
+  if (::stat(path.c_str(), &info) != 0 || !S_ISREG(info.st_mode) || static_cast<std::size_t>(info.st_size) > kMostFile ||
+      !(text << file.rdbuf()))
+    t.bad("operator", "'" + name + "' is no ordinary file of at most 1 MiB beside the day");
+  return text.str();
+}
+
 void read_routers(TableReader t, Day& day) {
   auto& r = day.routers;
   if (t.has("halls")) {
@@ -160,6 +176,7 @@
   r.sockets = static_cast<int>(t.integer("sockets", r.sockets, 64, 100'000));
   r.max_attempts = static_cast<int>(t.integer("max_attempts", r.max_attempts, 1, 100));
   r.retry_after = t.flag("retry_after", r.retry_after);
+  r.operator_text = operator_of(t, day);
   t.finish();
 }
 
@@ -196,14 +213,6 @@
   tills.leaves_after = t.duration("leaves_after", tills.leaves_after);
   tills.direct = t.part("direct", tills.direct);
   tills.notice = t.duration("notice", tills.notice);
-  for (TableReader s : t.tables("shape")) {
-    Shape shape;
-    read_span(s, day, shape.from, shape.until, true);
-    shape.from_factor = s.number("factor", 1, 0, 100);
-    shape.to_factor = s.number("to_factor", shape.from_factor, 0, 100);
-    s.finish();
-    tills.shapes.push_back(shape);
-  }
   for (TableReader s : t.tables("scan")) {
     Scan scan;
     read_span(s, day, scan.from, scan.until, true);
@@ -235,6 +244,20 @@
     b.finish();
   }
   if (tills.banners.empty()) tills.banners = {{"selam-stores", 0.56}, {"koket-express", 0.44}};
+  for (TableReader s : t.tables("shape")) {
+    Shape shape;
+    read_span(s, day, shape.from, shape.until, true);
+    shape.from_factor = s.number("factor", 1, 0, 100);
+    shape.to_factor = s.number("to_factor", shape.from_factor, 0, 100);
+    if (s.has("banner")) {
+      std::vector<std::string> names;
+      for (const Banner& b : tills.banners) names.push_back(b.name);
+      shape.banner = index_of(names, s.text("banner"));
+      if (shape.banner < 0) s.bad("banner", "no such banner (banners: " + joined(names) + ")");
+    }
+    s.finish();
+    tills.shapes.push_back(shape);
+  }
   auto adds_up = [&](const auto& list, const char* key) {
     double sum = 0;
     for (const auto& item : list) sum += item.share;
@@ -337,6 +360,11 @@
     read_span(e, day, f.at, f.until, spans);
     if (!spans) f.until = f.at;
     f.routers = routers_of(e, day, told);
+    if (f.kind == RouterFaultKind::kReload) {
+      f.operator_text = operator_of(e, day);
+      if (!f.operator_text.empty() && day.routers.operator_text.empty())
+        e.bad("operator", "the routers were started without one: set routers.operator");
+    }
     event = {f.at, f.until, what + " " + told};
     day.router_faults.push_back(f);
   } else if (what == "grows") {
@@ -399,6 +427,10 @@
   for (const TillClass& c : day.tills.classes)
     if (p99.has(c.name.c_str())) x.p99.emplace_back(c.name, p99.duration(c.name.c_str()));
   p99.finish();
+  TableReader banner = t.below("banner");
+  for (const Banner& b : day.tills.banners)
+    if (banner.has(b.name.c_str())) x.banners.emplace_back(b.name, banner.part(b.name.c_str(), 0));
+  banner.finish();
   t.finish();
 }
 
--- a/src/kit/rehearse/day.hpp
+++ b/src/kit/rehearse/day.hpp
@@ -34,6 +34,7 @@
 struct Shape {
   Micros from = 0, until = 0;
   double from_factor = 1, to_factor = 1;
+  int banner = -1;  ///< of this banner's requests alone; -1 = all
 };
 
 /// Reads of keys that are wanted once.
@@ -66,6 +67,7 @@
   RouterFaultKind kind = RouterFaultKind::kRestart;
   Micros at = 0, until = 0;  ///< `until`: started again, or continued
   std::vector<int> routers;
+  std::string operator_text;  ///< of a reload: the new operator file; empty = as it was
 };
 
 struct Routers {
@@ -74,6 +76,7 @@
   int sockets = 512;
   int max_attempts = 5;
   bool retry_after = false;
+  std::string operator_text;  ///< the operator file they are started with; empty = none
 };
 
 /// What must hold. Negative: not asked for.
@@ -82,6 +85,7 @@
   double refused_below = -1;  ///< part of the requests that end as refused
   double served = -1;         ///< part of the requests that end as served
   std::vector<std::pair<std::string, Micros>> p99;  ///< class, answer time of what was served
+  std::vector<std::pair<std::string, double>> banners;  ///< service of one banner, at least
   std::uint64_t memory_below = 0;                   ///< of each router; 0 = `memory` of the routers
   double memory_growth_below = -1;  ///< last quarter's mean against the second's, a part
   int descriptors_below = 0;
--- a/src/kit/rehearse/oracle.cpp
+++ b/src/kit/rehearse/oracle.cpp
@@ -381,6 +381,9 @@
         if (f.name == name)
           check("p99 of " + name, f.served > 0 && f.p99 <= limit, "at most " + kit::duration_text(limit),
                 f.served ? kit::duration_text(f.p99) : "none served");
+    for (const auto& [name, wanted] : x.banners)
+      for (const auto& f : v_.banners)
+        if (f.name == name) at_least("service of " + name, wanted, f.service);
     for (std::size_t r = 0; r < v_.routers.size(); ++r) {
       const RouterFigures& f = v_.routers[r];
       std::string router = " of r" + std::to_string(r + 1);
--- a/src/kit/rehearse/plan.cpp
+++ b/src/kit/rehearse/plan.cpp
@@ -25,10 +25,10 @@
 
 }  // namespace
 
-double rate_factor(const Tills& tills, Micros at) {
+double rate_factor(const Tills& tills, Micros at, int banner) {
   double factor = 1;
   for (const Shape& s : tills.shapes) {
-    if (at < s.from || at >= s.until) continue;
+    if (s.banner != banner || at < s.from || at >= s.until) continue;
     double part = static_cast<double>(at - s.from) / static_cast<double>(s.until - s.from);
     factor *= s.from_factor + (s.to_factor - s.from_factor) * part;
   }
@@ -44,9 +44,19 @@
   Plan plan;
   plan.seed = seed;
   // A Poisson process of changing rate: the integral of the rate, cut at exponential distances.
+  bool uneven = std::any_of(tills.shapes.begin(), tills.shapes.end(), [](const Shape& s) { return s.banner >= 0; });
   double integral = 0, next = draws.exponential(Stream::kArrival, 0);
   for (Micros step = 0; step < day.length; step += kStep) {
     double rate = tills.rate * rate_factor(tills, step) / 1e6;  // a microsecond
+    std::vector<Banner> banners = tills.banners;
+    if (uneven) {
+      // What one banner's shape adds is added to the whole, and the others keep what they had.
+      double sum = 0;
+      for (std::size_t b = 0; b < banners.size(); ++b)
+        sum += banners[b].share *= rate_factor(tills, step, static_cast<int>(b));
+      for (Banner& b : banners) b.share /= std::max(sum, 1e-12);
+      rate *= sum;
+    }
     double after = integral + rate * static_cast<double>(kStep);
     while (rate > 0 && next < after) {
       std::uint64_t index = plan.requests.size();
@@ -54,7 +64,7 @@
       r.at = step + static_cast<Micros>((next - integral) / rate);
       if (r.at >= day.length) break;
       r.type = choose(tills.classes, draws.uniform(Stream::kClass, index));
-      r.banner = choose(tills.banners, draws.uniform(Stream::kBanner, index));
+      r.banner = choose(banners, draws.uniform(Stream::kBanner, index));
       double u = draws.uniform(Stream::kHall, index), sum = 0;
       r.hall = static_cast<int>(halls.size()) - 1;
       for (std::size_t h = halls.size(); h-- > 0;) sum += halls[h];
--- a/src/kit/rehearse/routers.cpp
+++ b/src/kit/rehearse/routers.cpp
@@ -29,7 +29,7 @@
 constexpr Micros kReapEvery = 5'000, kSampleEvery = 500'000, kReadyEvery = 10'000;
 constexpr Micros kEndsWithin = 5'000'000;  // after SIGTERM; PROTOCOL gives 0.7 s more than a deadline
 constexpr int kAnswerMs = 200;
-constexpr int kConfigFd = 3, kFirstFree = 4;
+constexpr int kConfigFd = 3, kOperatorFd = 4, kFirstFree = 5;
 constexpr off_t kMostLog = 4096;
 
 std::string how_ended(int status) {
@@ -87,7 +87,9 @@
     p.port = ntohs(address.sin_port);
     p.config = net::Fd(::memfd_create("router-config", MFD_CLOEXEC));
     p.log = net::Fd(::memfd_create("router-log", MFD_CLOEXEC));
-    if (!p.config || !p.log) throw std::runtime_error("no memory file for a router");
+    p.operator_file = net::Fd(::memfd_create("router-operator", MFD_CLOEXEC));
+    p.operator_text = day.routers.operator_text;
+    if (!p.config || !p.log || !p.operator_file) throw std::runtime_error("no memory file for a router");
   }
 }
 
@@ -178,6 +180,7 @@
   Process& p = processes_[static_cast<std::size_t>(router)];
   ++starts_;
   write_all(p.config.get(), config_text(router));
+  write_all(p.operator_file.get(), p.operator_text);
   // All that the child needs is made before the fork: other threads run, and between fork and exec
   // only calls that are safe in a signal handler are allowed.
   std::vector<std::string> variables{"NODE_CONFIG=/proc/self/fd/" + std::to_string(kConfigFd)};
@@ -186,8 +189,13 @@
   std::vector<char*> env;
   for (std::string& v : variables) env.push_back(v.data());
   env.push_back(nullptr);
-  char* arguments[] = {program_.data(), nullptr};
-  int config = p.config.get(), log = p.log.get(), parent = ::getpid();
+  std::string option = "--operator", path = "/proc/self/fd/" + std::to_string(kOperatorFd);
+  bool operated = !day_.routers.operator_text.empty();
+  char* arguments[] = {program_.data(), operated ? option.data() : nullptr, path.data(), nullptr};
+  // Out of the way of the numbers that they get in the child.
+  net::Fd config_copy(::fcntl(p.config.get(), F_DUPFD_CLOEXEC, 10));
+  net::Fd operator_copy(::fcntl(p.operator_file.get(), F_DUPFD_CLOEXEC, 10));
+  int config = config_copy.get(), operator_fd = operator_copy.get(), log = p.log.get(), parent = ::getpid();
   int nothing = ::open("/dev/null", O_RDWR | O_CLOEXEC);
   auto limit = static_cast<rlim_t>(day_.routers.sockets);
   int pid = ::fork();
@@ -199,11 +207,9 @@
     ::dup2(nothing, 0);
     ::dup2(log, 1);
     ::dup2(log, 2);
-    if (config == kConfigFd)
-      ::fcntl(config, F_SETFD, 0);
-    else
-      ::dup2(config, kConfigFd);
-    ::close_range(kFirstFree, ~0u, 0);
+    ::dup2(config, kConfigFd);
+    if (operated) ::dup2(operator_fd, kOperatorFd);
+    ::close_range(operated ? kFirstFree : kOperatorFd, ~0u, 0);
     rlimit descriptors{limit, limit};
     ::setrlimit(RLIMIT_NOFILE, &descriptors);
     ::signal(SIGPIPE, SIG_DFL);
@@ -301,6 +307,10 @@
         });
         break;
       case RouterFaultKind::kReload:
+        if (!fault.operator_text.empty()) {
+          p.operator_text = fault.operator_text;
+          write_all(p.operator_file.get(), p.operator_text);
+        }
         ::kill(p.pid, SIGHUP);
         break;
       case RouterFaultKind::kFreeze:
--- a/src/kit/rehearse/routers.hpp
+++ b/src/kit/rehearse/routers.hpp
@@ -41,7 +41,8 @@
   struct Process {
     net::Fd holder;  // keeps the port over restarts; never listens
     int port = 0;
-    net::Fd config, log;
+    net::Fd config, log, operator_file;
+    std::string operator_text;
     int pid = -1;
     std::size_t life = 0;
     bool expected_end = false;
