--- /dev/null
+++ b/src/kit/common/history.hpp
@@ -0,0 +1,115 @@
+// What happened on a day, as the stand-ins and the tills saw it: recorded first, judged afterwards.
+// All times are microseconds on one monotonic clock of the machine.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "violetusher/balancer.hpp"
+
+namespace violetusher::kit {
+
+/// How a price cache answered an attempt. A spoilt answer has run.
+enum class Answered { kNothing, kServed, kError, kBusy, kReset, kSpoilt };
+
+/// One command that reached a price cache.
+struct AttemptRecord {
+  std::uint64_t request = 0;  ///< the number in the plan; kNoRequest where the id is none of ours
+  int attempt_try = 0;        ///< which of the till's tries
+  int server = -1;            ///< index into History::servers
+  int router = -1;            ///< whose listener it came by; the number of routers = sent directly
+  Micros first_byte = 0, begun = 0, ended = 0;  ///< ended 0: nothing was said, and nobody left
+  Answered answered = Answered::kNothing;
+  bool repeat = false;      ///< a keyed write that was dropped as a repeat
+  bool left = false;        ///< the router ended the attempt's connection first
+  std::uint64_t value = 0;  ///< hash of the value or receipt that was given
+};
+constexpr std::uint64_t kNoRequest = ~std::uint64_t{0};
+
+/// One effect of a write at the product master.
+struct EffectRecord {
+  std::uint64_t request = 0;
+  Micros at = 0;
+  int server = -1;
+};
+
+/// Discovery has written a change to a router.
+struct ToldRecord {
+  int router = -1;
+  int server = -1;
+  violetusher::Health health = violetusher::Health::Ready;
+  Micros at = 0;
+};
+
+/// How a try ended for its till.
+enum class TryEnd {
+  kOpen,      ///< the day ended first
+  kServed,
+  kRefused,
+  kFailed,    ///< any other whole line
+  kGarbled,   ///< an answer that can't be read, is not whole or belongs to another request
+  kClosed,    ///< the router closed the connection with no answer
+  kNoRouter,  ///< no connection came up: nothing was taken
+  kSilent,    ///< no answer within `wait` and the slack of the rules
+  kLeft,      ///< the till went away early of its own will
+};
+
+/// One request written to a router.
+struct TryRecord {
+  std::uint64_t request = 0;
+  int number = 0;             ///< 0 is the first try
+  int router = -1;            ///< the number of routers = sent to a price cache directly
+  Micros intended = 0;        ///< when it should have been sent
+  Micros sent = 0;            ///< its last byte was written; 0 = never
+  Micros wait = 0;            ///< `d`
+  Micros ended = 0;
+  TryEnd end = TryEnd::kOpen;
+  bool kept_connection = false;  ///< written to a connection that had served before
+  bool extra = false;            ///< bytes came behind the answer
+  std::uint64_t value = 0;       ///< hash of the value or receipt, where served
+  Micros come_back = 0;          ///< the time that a refusal named
+};
+
+/// One process of a router.
+struct RouterLife {
+  int router = -1;
+  Micros started = 0, ready = 0;  ///< ready 0: never
+  Micros signalled = 0;           ///< SIGTERM
+  std::vector<std::pair<Micros, Micros>> frozen;  ///< from SIGSTOP until SIGCONT
+  Micros ended = 0;
+  bool killed = false;   ///< by the script
+  bool crashed = false;  ///< ended otherwise than the script had it
+  std::string how;       ///< exit code or signal, for people
+};
+
+struct RouterSample {
+  int router = -1;
+  Micros at = 0;
+  std::uint64_t memory = 0;  ///< resident bytes
+  int descriptors = 0;
+};
+
+struct ServerSample {
+  int server = -1;
+  Micros at = 0;
+  double utilisation = 0;
+  int waiting = 0;
+};
+
+struct History {
+  Micros origin = 0;  ///< the moment that the plan's times count from
+  Micros ended = 0;
+  std::vector<std::string> servers;  ///< names; a replacement has a name and index of its own
+  std::vector<AttemptRecord> attempts;
+  std::vector<EffectRecord> effects;
+  std::vector<ToldRecord> told;
+  std::vector<std::pair<int, Micros>> fallen;  ///< price caches pushed over
+  std::vector<TryRecord> tries;
+  std::vector<RouterLife> lives;
+  std::vector<RouterSample> router_samples;
+  std::vector<ServerSample> server_samples;
+};
+
+}  // namespace violetusher::kit
--- /dev/null
+++ b/src/kit/common/loop.hpp
@@ -0,0 +1,67 @@
+// One event loop with timers that run functions and a record of how late they ran.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <queue>
+#include <vector>
+
+#include "net/io.hpp"
+
+namespace violetusher::kit {
+
+/// How late the rig itself was, in microseconds. Bounded: a logarithmic histogram.
+class Lateness {
+ public:
+  void add(Micros late);
+  std::uint64_t count() const { return count_; }
+  Micros worst() const { return worst_; }
+  /// The upper edge of the bucket that holds the quantile `q`; buckets grow by an eighth.
+  Micros quantile(double q) const;
+  void merge(const Lateness& other);
+
+ private:
+  static constexpr std::size_t kBuckets = 160;
+  std::uint64_t buckets_[kBuckets] = {};
+  std::uint64_t count_ = 0;
+  Micros worst_ = 0;
+};
+
+/// Not safe for use from several threads but for wake().
+class Loop {
+ public:
+  explicit Loop(const net::Clock& clock);
+  event_base* base() const { return base_.get(); }
+  Micros now() const { return clock_.now(); }
+  /// Runs `task` at `at` or as soon after as the loop can.
+  void at(Micros at, std::function<void()> task);
+  /// Runs until stop() was called from within.
+  void run();
+  void stop() { stopped_ = true; event_base_loopbreak(base_.get()); }
+  /// Ends the loop from another thread or a signal handler.
+  void stop_from_outside() { asked_ = true; }
+  const Lateness& lateness() const { return lateness_; }
+
+ private:
+  struct Timer {
+    Micros at;
+    std::uint64_t order;
+    std::function<void()> task;
+    bool operator>(const Timer& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+  static void on_timer(evutil_socket_t, short, void* self);
+  void ring();
+  void arm();
+
+  const net::Clock& clock_;
+  net::EventBasePtr base_;
+  net::EventPtr timer_;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
+  std::uint64_t order_ = 0;
+  Micros armed_ = 0;
+  bool ringing_ = false, stopped_ = false;
+  std::atomic<bool> asked_{false};
+  Lateness lateness_;
+};
+
+}  // namespace violetusher::kit
--- /dev/null
+++ b/src/kit/main.cpp
@@ -0,0 +1,28 @@
+// violetusher-kit: the test and rehearsal kit, one subcommand a tool.
+//
+// Exit codes: 0 pass, 1 fail, 2 wrong input or usage, 3 inconclusive.
+#include <signal.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+
+#include "kit/rehearse/command.hpp"
+
+int main(int argc, char** argv) {
+  ::signal(SIGPIPE, SIG_IGN);
+  CLI::App app{"violetusher-kit: stand-ins, rehearsals and more for the router violetusher"};
+  app.require_subcommand(1);
+  int code = 0;
+  violetusher::rehearse::add_rehearse(app, argv[0], code);
+  violetusher::rehearse::add_standin(app, code);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : 2;
+  } catch (const std::exception& e) {
+    // The machine gave no socket, process or memory: nothing was judged.
+    std::fprintf(stderr, "violetusher-kit: %s\n", e.what());
+    return 3;
+  }
+  return code;
+}
--- /dev/null
+++ b/src/kit/rehearse/command.cpp
@@ -0,0 +1,151 @@
+#include "command.hpp"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+
+#include "kit/common/units.hpp"
+#include "kit/standin/fleet.hpp"
+#include "oracle.hpp"
+#include "report.hpp"
+#include "rig.hpp"
+
+namespace violetusher::rehearse {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr int kWrongInput = 2;
+
+int wrong(const std::string& what) {
+  std::fprintf(stderr, "violetusher-kit: %s\n", what.c_str());
+  return kWrongInput;
+}
+
+/// Writes beside the file and renames: nothing half-written is ever taken for a result.
+bool write_file(const std::string& path, const std::string& text) {
+  std::string part = path + ".part";
+  std::ofstream file(part, std::ios::binary | std::ios::trunc);
+  file << text;
+  file.close();
+  std::error_code error;
+  if (file) fs::rename(part, path, error);
+  if (file && !error) return true;
+  fs::remove(part, error);
+  return false;
+}
+
+struct RehearseOptions {
+  std::string day, router, json, report, log;
+  std::int64_t seed = -1;
+  bool plan = false, quiet = false;
+};
+
+int rehearse(const RehearseOptions& o) {
+  Day day;
+  try {
+    day = load_day(o.day);
+  } catch (const DayError& e) {
+    std::fprintf(stderr, "%s\n", e.what());
+    return kWrongInput;
+  }
+  Plan plan = make_plan(day, o.seed >= 0 ? static_cast<std::uint64_t>(o.seed) : day.seed);
+  if (o.plan) {
+    for (std::size_t k = 0; k < plan.requests.size(); ++k)
+      std::printf("%s\n", plan_line(day, plan, k).c_str());
+    return 0;
+  }
+  if (::access(o.router.c_str(), X_OK) != 0 || fs::is_directory(o.router))
+    return wrong("--router: '" + o.router + "' is no program that can be run");
+  for (const std::string& path : {o.json, o.report, o.log}) {
+    fs::path folder = fs::path(path).parent_path();
+    if (!path.empty() && !folder.empty() && !fs::is_directory(folder))
+      return wrong("'" + path + "': no such folder");
+  }
+  RigOptions options;
+  options.router = fs::absolute(o.router);
+  options.progress = !o.quiet;
+  Played played = play(day, plan, options);
+  Verdict verdict = judge(day, plan, played.history);
+  Result result{day, plan, played, verdict};
+  std::printf("%s", text_report(result).c_str());
+  bool written = (o.json.empty() || write_file(o.json, json_report(result))) &&
+                 (o.report.empty() || write_file(o.report, html_report(result))) &&
+                 (o.log.empty() || write_file(o.log, request_log(result)));
+  if (!written) return wrong("a result could not be written");
+  if (!o.report.empty()) std::printf("report: %s\n", fs::absolute(o.report).c_str());
+  return static_cast<int>(result.outcome());
+}
+
+int standin(const std::string& path, double for_s) {
+  Day day;
+  try {
+    day = load_day(path);
+  } catch (const DayError& e) {
+    std::fprintf(stderr, "%s\n", e.what());
+    return kWrongInput;
+  }
+  net::Clock clock;
+  kit::Loop loop(clock);
+  kit::History history;
+  standin::Fleet fleet(loop, day.fleet, day.faults, day.seed, day.routers.halls, history);
+  for (std::size_t r = 0; r < day.routers.halls.size(); ++r)
+    std::printf("r%zu discovery %s\n", r + 1, fleet.discovery_address(static_cast<int>(r)).c_str());
+  for (std::size_t s = 0; s < day.fleet.servers.size(); ++s)
+    std::printf("%s %s\n", day.fleet.servers[s].id.c_str(),
+                fleet.address(static_cast<int>(s), static_cast<int>(day.routers.halls.size())).c_str());
+  std::fflush(stdout);
+  auto on_signal = [](evutil_socket_t, short, void* l) { static_cast<kit::Loop*>(l)->stop(); };
+  net::EventPtr interrupt(evsignal_new(loop.base(), SIGINT, on_signal, &loop));
+  net::EventPtr term(evsignal_new(loop.base(), SIGTERM, on_signal, &loop));
+  event_add(interrupt.get(), nullptr);
+  event_add(term.get(), nullptr);
+  Micros origin = loop.now();
+  fleet.start(origin);
+  if (for_s > 0) loop.at(origin + static_cast<Micros>(for_s * 1e6), [&] { loop.stop(); });
+  // What is not judged need not be kept: the history stays small however long this runs.
+  std::function<void()> forget = [&] {
+    history.server_samples.clear();
+    history.told.clear();
+    history.effects.clear();
+    loop.at(loop.now() + 1'000'000, forget);
+  };
+  forget();
+  loop.run();
+  std::fprintf(stderr, "%zu attempts came\n", history.attempts.size());
+  return 0;
+}
+
+}  // namespace
+
+void add_rehearse(CLI::App& app, const std::string& program, int& code) {
+  auto o = std::make_shared<RehearseOptions>();
+  std::error_code error;
+  fs::path self = fs::read_symlink("/proc/self/exe", error);
+  o->router = (error ? fs::path(program) : self).parent_path() / "violetusher";
+  CLI::App* sub = app.add_subcommand("rehearse", "Plays a scripted day against real routers and judges it");
+  sub->add_option("day", o->day, "the day, a TOML file")->required();
+  sub->add_option("--seed", o->seed, "instead of the day's own")->check(CLI::NonNegativeNumber);
+  sub->add_option("--router", o->router, "the router's program")->capture_default_str();
+  sub->add_option("--json", o->json, "write the result for machines");
+  sub->add_option("--report", o->report, "write the result as one HTML page");
+  sub->add_option("--log", o->log, "write the first tries as JSON lines, as --plan prints them");
+  sub->add_flag("--plan", o->plan, "print the schedule and play nothing");
+  sub->add_flag("--quiet", o->quiet, "no progress");
+  sub->callback([o, &code] { code = rehearse(*o); });
+}
+
+void add_standin(CLI::App& app, int& code) {
+  auto day = std::make_shared<std::string>();
+  auto for_s = std::make_shared<double>(0);
+  CLI::App* sub = app.add_subcommand("standin", "Starts a day's price caches and discovery alone, with its faults");
+  sub->add_option("day", *day, "the day, a TOML file")->required();
+  sub->add_option("--for", *for_s, "seconds until it ends; otherwise SIGTERM ends it")->check(CLI::NonNegativeNumber);
+  sub->callback([day, for_s, &code] { code = standin(*day, *for_s); });
+}
+
+}  // namespace violetusher::rehearse
--- /dev/null
+++ b/src/kit/rehearse/day.cpp
@@ -0,0 +1,459 @@
+#include "day.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <sstream>
+#include <sys/stat.h>
+
+#include "kit/common/random.hpp"
+#include "kit/common/units.hpp"
+#include "toml_reader.hpp"
+
+namespace violetusher::rehearse {
+namespace {
+
+using standin::FaultKind;
+
+constexpr std::int64_t kMostServers = 128, kMostRouters = 8;
+constexpr Micros kLongestDay = 3'600'000'000;
+constexpr double kMostRequests = 5e6;
+constexpr std::size_t kMostFile = 1u << 20;
+
+int index_of(const std::vector<std::string>& names, const std::string& name) {
+  auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+std::string joined(const std::vector<std::string>& names) {
+  std::string text;
+  for (const auto& name : names) text += (text.empty() ? "" : ", ") + name;
+  return text;
+}
+
+int hall_of(TableReader& t, const char* key, const Day& day) {
+  std::string name = t.text(key);
+  int hall = index_of(day.fleet.halls, name);
+  if (hall < 0) t.bad(key, "no hall '" + name + "' (halls: " + joined(day.fleet.halls) + ")");
+  return hall;
+}
+
+void read_halls(TableReader t, Day& day) {
+  day.fleet.halls = t.has("names") ? t.texts("names")
+                                   : std::vector<std::string>{"bole", "kality", "piassa"};
+  for (std::size_t k = 0; k < day.fleet.halls.size(); ++k)
+    for (std::size_t j = 0; j < k; ++j)
+      if (day.fleet.halls[k] == day.fleet.halls[j])
+        t.bad("names", "'" + day.fleet.halls[k] + "' stands twice");
+  day.fleet.same = t.duration("same", day.fleet.same);
+  day.fleet.cross = t.duration("cross", day.fleet.cross);
+  t.finish();
+}
+
+int kind_of(TableReader& t, const Day& day) {
+  std::string name = t.text("kind");
+  std::vector<std::string> names;
+  for (const auto& kind : day.fleet.kinds) names.push_back(kind.name);
+  int kind = index_of(names, name);
+  if (kind < 0) t.bad("kind", "no machine kind '" + name + "' (kinds: " + joined(names) + ")");
+  return kind;
+}
+
+void add_servers(Day& day, int kind, int hall, std::int64_t count, Micros joins, TableReader& t) {
+  for (std::int64_t k = 0; k < count; ++k) {
+    standin::ServerSpec s;
+    int number = static_cast<int>(day.fleet.servers.size());
+    s.id = "pc-" + std::to_string(number + 1);
+    s.kind = kind;
+    s.hall = hall >= 0 ? hall : number % static_cast<int>(day.fleet.halls.size());
+    s.block = number / 4;
+    s.joins = joins;
+    day.fleet.servers.push_back(s);
+  }
+  if (static_cast<std::int64_t>(day.fleet.servers.size()) > kMostServers)
+    t.bad("count", "over " + std::to_string(kMostServers) + " price caches");
+}
+
+void read_fleet(TableReader t, Day& day) {
+  auto& f = day.fleet;
+  f.kinds = {{"std-4c", 4, 0.95, 48, 64u << 20, 96, 2'500}, {"small-3c", 3, 0.6, 36, 48u << 20, 72, 2'500}};
+  for (TableReader k : t.tables("kind")) {
+    standin::MachineKind kind;
+    kind.name = k.text("name");
+    kind.cores = static_cast<int>(k.integer("cores", kind.cores, 1, 256));
+    kind.speed = k.number("speed", kind.speed, 0.01, 100);
+    kind.waiting = static_cast<int>(k.integer("waiting", kind.waiting, 0, 100'000));
+    kind.memory = k.size("memory", kind.memory);
+    kind.connections = static_cast<int>(k.integer("connections", kind.connections, 1, 10'000));
+    kind.connect_work = k.duration("connect_work", kind.connect_work);
+    k.finish();
+    auto same = std::find_if(f.kinds.begin(), f.kinds.end(),
+                             [&](auto& other) { return other.name == kind.name; });
+    if (same == f.kinds.end())
+      f.kinds.push_back(kind);
+    else
+      *same = kind;
+  }
+  auto groups = t.tables("servers");
+  if (groups.empty()) t.bad_here("no [[fleet.servers]]: a day needs at least one price cache");
+  for (TableReader& g : groups) {
+    int kind = kind_of(g, day);
+    int hall = g.has("hall") ? hall_of(g, "hall", day) : -1;
+    std::int64_t count = g.integer("count", 1, 1, kMostServers);
+    Micros joins = g.duration("joins", 0);
+    if (joins >= day.length) g.bad("joins", "past the end of the day");
+    add_servers(day, kind, hall, count, joins, g);
+    g.finish();
+  }
+  f.streams = static_cast<int>(t.integer("streams", f.streams, 1, 1000));
+  f.idle_close = t.duration("idle_close", f.idle_close);
+  f.handshake = t.duration("handshake", f.handshake);
+  f.report_every = std::max<Micros>(t.duration("report_every", f.report_every), 10'000);
+  f.report_lag = t.duration("report_lag", f.report_lag);
+  f.held = t.part("held", f.held);
+  f.cold_share = t.number("cold_share", f.cold_share, 0.01, 1);
+  f.warm_up = t.duration("warm_up", f.warm_up);
+  f.fall_multiple = t.number("fall_multiple", f.fall_multiple, 1, 1000);
+  f.fall_after = t.duration("fall_after", f.fall_after);
+  f.repeat_window = t.duration("repeat_window", f.repeat_window);
+  f.drop_gone_work = t.flag("drop_gone_work", f.drop_gone_work);
+  f.value_low = static_cast<Micros>(t.size("value_low", static_cast<std::uint64_t>(f.value_low)));
+  f.value_high = static_cast<Micros>(t.size("value_high", static_cast<std::uint64_t>(f.value_high)));
+  if (f.value_low > f.value_high || f.value_high > 65'536)
+    t.bad(t.has("value_high") ? "value_high" : "value_low", "not from value_low up to 64KiB");
+  t.finish();
+}
+
+void read_origin(TableReader t, Day& day) {
+  auto& o = day.fleet.origin;
+  o.parallel = static_cast<int>(t.integer("parallel", o.parallel, 1, 10'000));
+  o.time = t.duration("time", o.time);
+  o.waiting = static_cast<int>(t.integer("waiting", o.waiting, 0, 100'000));
+  t.finish();
+}
+
+void read_discovery(TableReader t, Day& day) {
+  auto& f = day.fleet;
+  f.notice = t.duration("notice", f.notice);
+  f.silent_notice = t.duration("silent_notice", f.silent_notice);
+  f.calls_per_s = t.rate("calls", f.calls_per_s);
+  f.call_limit = t.duration("call_limit", f.call_limit);
+  t.finish();
+}
+
+void read_routers(TableReader t, Day& day) {
+  auto& r = day.routers;
+  if (t.has("halls")) {
+    for (const std::string& name : t.texts("halls")) {
+      int hall = index_of(day.fleet.halls, name);
+      if (hall < 0) t.bad("halls", "no hall '" + name + "' (halls: " + joined(day.fleet.halls) + ")");
+      r.halls.push_back(hall);
+    }
+    if (static_cast<std::int64_t>(r.halls.size()) > kMostRouters) t.bad("halls", "over 8 routers");
+  } else {
+    std::int64_t count = t.integer("count", 2, 1, kMostRouters);
+    for (std::int64_t k = 0; k < count; ++k)
+      r.halls.push_back(static_cast<int>(k) % static_cast<int>(day.fleet.halls.size()));
+  }
+  r.memory = t.size("memory", r.memory);
+  if (r.memory < (16u << 20)) t.bad("memory", "under 16MiB");
+  r.sockets = static_cast<int>(t.integer("sockets", r.sockets, 64, 100'000));
+  r.max_attempts = static_cast<int>(t.integer("max_attempts", r.max_attempts, 1, 100));
+  r.retry_after = t.flag("retry_after", r.retry_after);
+  t.finish();
+}
+
+/// From `at` until `until` (or `for`), inside the day.
+void read_span(TableReader& t, const Day& day, Micros& from, Micros& until, bool must_end) {
+  from = t.duration("at");
+  if (from >= day.length)
+    t.bad("at", "past the end of the day (" + kit::duration_text(day.length) + ")");
+  if (t.has("until") && t.has("for")) t.bad("for", "'until' and 'for' together");
+  until = day.length;
+  if (t.has("until"))
+    until = t.duration("until");
+  else if (t.has("for"))
+    until = from + t.duration("for");
+  else if (must_end)
+    t.bad_here("neither 'until' nor 'for'");
+  if (until > day.length)
+    t.bad(t.has("until") ? "until" : "for",
+          "past the end of the day (" + kit::duration_text(day.length) + ")");
+  if (until <= from) t.bad(t.has("until") ? "until" : "for", "ends before it begins");
+}
+
+void read_tills(TableReader t, Day& day) {
+  Tills& tills = day.tills;
+  tills.rate = t.rate("rate", tills.rate);
+  if (tills.rate * static_cast<double>(day.length) / 1e6 > kMostRequests)
+    t.bad("rate", "over 5 million requests in the day");
+  tills.keys = static_cast<std::size_t>(t.integer("keys", 20'000, 1, 5'000'000));
+  tills.zipf = t.number("zipf", tills.zipf, 0, 3);
+  tills.retries = static_cast<int>(t.integer("retries", tills.retries, 0, 5));
+  tills.try_share = t.number("try_share", tills.try_share, 0.05, 1);
+  tills.retry_pause = t.duration("retry_pause", tills.retry_pause);
+  tills.impatient = t.part("impatient", tills.impatient);
+  tills.leaves_after = t.duration("leaves_after", tills.leaves_after);
+  tills.direct = t.part("direct", tills.direct);
+  tills.notice = t.duration("notice", tills.notice);
+  for (TableReader s : t.tables("shape")) {
+    Shape shape;
+    read_span(s, day, shape.from, shape.until, true);
+    shape.from_factor = s.number("factor", 1, 0, 100);
+    shape.to_factor = s.number("to_factor", shape.from_factor, 0, 100);
+    s.finish();
+    tills.shapes.push_back(shape);
+  }
+  for (TableReader s : t.tables("scan")) {
+    Scan scan;
+    read_span(s, day, scan.from, scan.until, true);
+    scan.share = s.part("share", 0.1);
+    s.finish();
+    tills.scans.push_back(scan);
+  }
+  for (TableReader c : t.tables("class")) {
+    TillClass k;
+    k.name = c.text("name");
+    for (const TillClass& other : tills.classes)
+      if (other.name == k.name) c.bad("name", "class '" + k.name + "' stands twice");
+    k.share = c.part("share", 0);
+    k.work = c.duration("work", k.work);
+    k.wanted = c.duration("wanted", k.wanted);
+    k.gives_up = c.duration("gives_up", k.gives_up);
+    if (k.gives_up < k.wanted) c.bad("gives_up", "before 'wanted'");
+    k.worth = c.number("worth", k.worth, 0, 1000);
+    k.late_worth = c.part("late_worth", k.late_worth);
+    k.keyed = c.flag("keyed", false);
+    c.finish();
+    tills.classes.push_back(k);
+  }
+  if (tills.classes.empty())
+    tills.classes = {{"price-lookup", 0.945, 30'000, 150'000, 600'000, 3, 0.27, false},
+                     {"sale-record", 0.055, 45'000, 250'000, 1'000'000, 2, 0.27, true}};
+  for (TableReader b : t.tables("banner")) {
+    tills.banners.push_back({b.text("name"), b.part("share", 0)});
+    b.finish();
+  }
+  if (tills.banners.empty()) tills.banners = {{"selam-stores", 0.56}, {"koket-express", 0.44}};
+  auto adds_up = [&](const auto& list, const char* key) {
+    double sum = 0;
+    for (const auto& item : list) sum += item.share;
+    if (std::abs(sum - 1) > 1e-6)
+      t.bad(key, "shares add up to " + std::to_string(sum) + ", not to 1");
+  };
+  adds_up(tills.classes, "class");
+  adds_up(tills.banners, "banner");
+  tills.hall_shares = t.numbers("hall_shares");
+  if (!tills.hall_shares.empty()) {
+    if (tills.hall_shares.size() != day.fleet.halls.size())
+      t.bad("hall_shares", "not one for each hall");
+    double sum = 0;
+    for (double s : tills.hall_shares) {
+      if (!(s >= 0)) t.bad("hall_shares", "one below 0");
+      sum += s;
+    }
+    if (std::abs(sum - 1) > 1e-6) t.bad("hall_shares", "don't add up to 1");
+  }
+  t.finish();
+}
+
+/// The price caches that an event is about.
+std::vector<int> servers_of(TableReader& e, const Day& day, Micros at, std::string& told) {
+  auto names = e.texts("servers");
+  std::vector<int> chosen;
+  if (!names.empty()) {
+    for (const std::string& name : names) {
+      auto it = std::find_if(day.fleet.servers.begin(), day.fleet.servers.end(),
+                             [&](auto& s) { return s.id == name; });
+      if (it == day.fleet.servers.end())
+        e.bad("servers", "no price cache '" + name + "' (pc-1 to pc-" +
+                             std::to_string(day.fleet.servers.size()) + ")");
+      if (it->joins > at) e.bad("servers", "'" + name + "' joins only later");
+      chosen.push_back(static_cast<int>(it - day.fleet.servers.begin()));
+    }
+    told = joined(names);
+  } else {
+    int hall = e.has("hall") ? hall_of(e, "hall", day) : -1;
+    int kind = e.has("kind") ? kind_of(e, day) : -1;
+    double part = e.part("part", hall < 0 && kind < 0 ? -1 : 1);
+    if (part < 0) e.bad_here("about whom? Give 'servers', 'hall', 'kind' or 'part'");
+    for (std::size_t k = 0; k < day.fleet.servers.size(); ++k) {
+      const auto& s = day.fleet.servers[k];
+      if ((hall < 0 || s.hall == hall) && (kind < 0 || s.kind == kind) && s.joins <= at)
+        chosen.push_back(static_cast<int>(k));
+    }
+    // Which ones make up a part depends on the seed alone.
+    kit::Draws draws(day.seed);
+    std::sort(chosen.begin(), chosen.end(), [&](int a, int b) {
+      return draws.bits(kit::Stream::kTill, 1'000'000'000, static_cast<std::uint64_t>(a)) <
+             draws.bits(kit::Stream::kTill, 1'000'000'000, static_cast<std::uint64_t>(b));
+    });
+    chosen.resize(static_cast<std::size_t>(std::ceil(part * static_cast<double>(chosen.size()))));
+    std::sort(chosen.begin(), chosen.end());
+    for (int k : chosen)
+      told += (told.empty() ? "" : ", ") + day.fleet.servers[static_cast<std::size_t>(k)].id;
+  }
+  if (chosen.empty()) e.bad_here("is about no price cache");
+  return chosen;
+}
+
+std::vector<int> routers_of(TableReader& e, const Day& day, std::string& told) {
+  std::vector<int> chosen;
+  for (const std::string& name : e.texts("routers")) {
+    int number = -1;
+    for (std::size_t k = 0; k < day.routers.halls.size(); ++k)
+      if (name == "r" + std::to_string(k + 1)) number = static_cast<int>(k);
+    if (number < 0)
+      e.bad("routers",
+            "no router '" + name + "' (r1 to r" + std::to_string(day.routers.halls.size()) + ")");
+    chosen.push_back(number);
+    told += (told.empty() ? "" : ", ") + name;
+  }
+  if (e.has("hall")) {
+    int hall = hall_of(e, "hall", day);
+    for (std::size_t k = 0; k < day.routers.halls.size(); ++k)
+      if (day.routers.halls[k] == hall) chosen.push_back(static_cast<int>(k));
+    told += "of " + day.fleet.halls[static_cast<std::size_t>(hall)];
+  }
+  if (chosen.empty()) e.bad_here("about which router? Give 'routers' or 'hall'");
+  return chosen;
+}
+
+void read_event(TableReader e, Day& day) {
+  std::string what = e.text("what");
+  Event event;
+  std::string told;
+  const std::vector<std::pair<std::string, RouterFaultKind>> of_routers{
+      {"router-restarts", RouterFaultKind::kRestart},
+      {"router-killed", RouterFaultKind::kKill},
+      {"router-reloads", RouterFaultKind::kReload},
+      {"router-frozen", RouterFaultKind::kFreeze}};
+  auto router = std::find_if(of_routers.begin(), of_routers.end(),
+                             [&](auto& r) { return r.first == what; });
+  if (router != of_routers.end()) {
+    RouterFault f;
+    f.kind = router->second;
+    bool spans = f.kind == RouterFaultKind::kKill || f.kind == RouterFaultKind::kFreeze;
+    read_span(e, day, f.at, f.until, spans);
+    if (!spans) f.until = f.at;
+    f.routers = routers_of(e, day, told);
+    event = {f.at, f.until, what + " " + told};
+    day.router_faults.push_back(f);
+  } else if (what == "grows") {
+    Micros at = e.duration("at");
+    if (at <= 0 || at >= day.length) e.bad("at", "not inside the day");
+    int kind = kind_of(e, day);
+    int hall = e.has("hall") ? hall_of(e, "hall", day) : -1;
+    std::int64_t count = e.integer("count", 1, 1, kMostServers);
+    add_servers(day, kind, hall, count, at, e);
+    event = {at, at, "grows by " + std::to_string(count)};
+  } else {
+    standin::Fault f;
+    bool found = false;
+    std::string known = "grows";
+    for (const auto& [name, kind] : of_routers) known += ", " + name;
+    for (FaultKind kind : standin::all_faults()) {
+      known += std::string(", ") + name_of(kind);
+      if (what == name_of(kind)) f.kind = kind, found = true;
+    }
+    if (!found) e.bad("what", "no event '" + what + "' (known: " + known + ")");
+    read_span(e, day, f.from, f.until, f.kind == FaultKind::kDrain);
+    f.rate = e.part("rate", 1);
+    f.factor = e.number("factor", 3, 0.01, 10'000);
+    f.delay = e.duration("delay", f.kind == FaultKind::kReplaced ? 500'000 : 200'000);
+    switch (f.kind) {
+      case FaultKind::kHallCut:
+      case FaultKind::kHallSlow:
+        f.hall = hall_of(e, "hall", day);
+        told = day.fleet.halls[static_cast<std::size_t>(f.hall)];
+        break;
+      case FaultKind::kDiscoveryDown:
+      case FaultKind::kDiscoveryLate:
+        break;
+      default:
+        f.servers = servers_of(e, day, f.from, told);
+    }
+    event = {f.from, f.until, what + (told.empty() ? "" : " " + told)};
+    day.faults.push_back(f);
+  }
+  e.finish();
+  day.events.push_back(event);
+}
+
+void read_expect(TableReader t, Day& day) {
+  Expect& x = day.expect;
+  x.service = t.part("service", x.service);
+  x.worst_window = t.part("worst_window", x.worst_window);
+  x.worst_class = t.part("worst_class", x.worst_class);
+  x.worst_banner = t.part("worst_banner", x.worst_banner);
+  x.refused_below = t.part("refused_below", x.refused_below);
+  x.served = t.part("served", x.served);
+  x.memory_below = t.size("memory_below", day.routers.memory);
+  x.memory_growth_below = t.number("memory_growth_below", x.memory_growth_below, 0, 100);
+  x.descriptors_below =
+      static_cast<int>(t.integer("descriptors_below", day.routers.sockets, 1, 1'000'000));
+  x.answer_slack = t.duration("answer_slack", x.answer_slack);
+  x.drain_grace = t.duration("drain_grace", x.drain_grace);
+  x.held_back = t.duration("held_back", x.held_back);
+  TableReader p99 = t.below("p99");
+  for (const TillClass& c : day.tills.classes)
+    if (p99.has(c.name.c_str())) x.p99.emplace_back(c.name, p99.duration(c.name.c_str()));
+  p99.finish();
+  t.finish();
+}
+
+void read_rig(TableReader t, Day& day) {
+  day.rig.late_p99 = t.duration("late_p99", day.rig.late_p99);
+  day.rig.late_worst = t.duration("late_worst", day.rig.late_worst);
+  day.rig.ready_within = t.duration("ready_within", day.rig.ready_within);
+  t.finish();
+}
+
+Day day_of(const toml::table& root, const std::string& file) {
+  Day day;
+  day.file = file;
+  TableReader t(root, file, "");
+  day.name = t.text("name");
+  day.about = t.text("about", "");
+  day.seed = static_cast<std::uint64_t>(
+      t.integer("seed", 1, 0, std::numeric_limits<std::int64_t>::max()));
+  day.length = t.duration("length");
+  if (day.length < 1'000'000 || day.length > kLongestDay) t.bad("length", "not from 1s to 1h");
+  read_halls(t.below("halls"), day);
+  read_fleet(t.below("fleet"), day);
+  read_origin(t.below("origin"), day);
+  read_discovery(t.below("discovery"), day);
+  read_routers(t.below("routers"), day);
+  read_tills(t.below("tills"), day);
+  for (TableReader event : t.tables("event")) read_event(event, day);
+  read_expect(t.below("expect"), day);
+  read_rig(t.below("rig"), day);
+  t.finish();
+  return day;
+}
+
+}  // namespace
+
+Day parse_day(const std::string& text, const std::string& name) {
+  if (text.size() > kMostFile) throw DayError(name + ":1: longer than 1 MiB");
+  try {
+    toml::table root = toml::parse(text, name);
+    return day_of(root, name);
+  } catch (const toml::parse_error& e) {
+    throw DayError(name + ":" + std::to_string(e.source().begin.line) + ": " +
+                   std::string(e.description()));
+  }
+}
+
+Day load_day(const std::string& path) {
+  struct stat info {};
+  if (::stat(path.c_str(), &info) != 0) throw DayError(path + ":1: cannot be read");
+  if (!S_ISREG(info.st_mode)) throw DayError(path + ":1: no ordinary file");
+  if (static_cast<std::size_t>(info.st_size) > kMostFile) throw DayError(path + ":1: longer than 1 MiB");
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream text;
+  if (!file || !(text << file.rdbuf())) throw DayError(path + ":1: cannot be read");
+  return parse_day(text.str(), path);
+}
+
+}  // namespace violetusher::rehearse
--- /dev/null
+++ b/src/kit/rehearse/oracle.cpp
@@ -0,0 +1,412 @@
+#include "oracle.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <unordered_map>
+
+#include "kit/common/units.hpp"
+
+namespace violetusher::rehearse {
+namespace {
+
+using kit::Answered;
+using kit::TryEnd;
+
+constexpr Micros kOrderSlack = 50'000;  // between two of the rig's threads and the kernel's buffers
+
+Micros quantile(std::vector<Micros>& values, double q) {
+  if (values.empty()) return 0;
+  auto at = std::min(values.size() - 1, static_cast<std::size_t>(q * static_cast<double>(values.size())));
+  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at), values.end());
+  return values[at];
+}
+
+std::string percent(double part) {
+  char text[24];
+  std::snprintf(text, sizeof text, "%.2f%%", part * 100);
+  return text;
+}
+
+class Judge {
+ public:
+  Judge(const Day& day, const Plan& plan, const kit::History& history)
+      : day_(day), plan_(plan), history_(history), routers_(static_cast<int>(day.routers.halls.size())) {
+    for (const auto& a : history.attempts)
+      if (a.request != kit::kNoRequest) attempts_[key(a.request, a.attempt_try)].push_back(&a);
+  }
+
+  Verdict run() {
+    tries();
+    effects();
+    drains();
+    cold();
+    lives();
+    service();
+    resources();
+    expectations();
+    v_.attempts = history_.attempts.size();
+    return std::move(v_);
+  }
+
+ private:
+  static std::uint64_t key(std::uint64_t request, int number) {
+    return request * 64 + static_cast<std::uint64_t>(number);
+  }
+
+  void broken(const char* rule, const std::string& request, Micros at, const std::string& what) {
+    if (v_.broken[rule]++ < kMostFindings)
+      v_.findings.push_back({rule, request, at - history_.origin, what});
+  }
+
+  const std::vector<const kit::AttemptRecord*>& attempts_of(const kit::TryRecord& t) const {
+    static const std::vector<const kit::AttemptRecord*> kNone;
+    auto it = attempts_.find(key(t.request, t.number));
+    return it == attempts_.end() ? kNone : it->second;
+  }
+
+  /// True where the router was killed or frozen by the script while the try was under way: what it
+  /// held then is its client's to try again.
+  bool excused(const kit::TryRecord& t) const {
+    for (const auto& life : history_.lives) {
+      if (life.router != t.router) continue;
+      if (life.killed && life.ended >= t.intended && life.started <= t.ended) return true;
+      for (auto [from, until] : life.frozen)
+        if (from <= t.ended && until >= t.intended) return true;
+    }
+    return false;
+  }
+
+  /// A span in which attempts can't be seen by the stand-ins: connections that never come up.
+  bool unseen(Micros from, Micros until) const {
+    for (const auto& f : day_.faults)
+      if ((f.kind == standin::FaultKind::kVanishes || f.kind == standin::FaultKind::kHallCut ||
+           f.kind == standin::FaultKind::kMute) &&
+          history_.origin + f.from <= until && history_.origin + f.until + kOrderSlack >= from)
+        return true;
+    return false;
+  }
+
+  static std::string id_of(const kit::TryRecord& t) { return standin::request_id(t.request, t.number); }
+
+  void tries() {
+    for (const auto& t : history_.tries) {
+      ++v_.tries;
+      if (t.router >= routers_ || t.end == TryEnd::kOpen) continue;  // direct, or cut short
+      const auto& attempts = attempts_of(t);
+      lost(t, attempts);
+      if (t.extra)
+        broken(kOneAnswer, id_of(t), t.ended, "bytes came behind the one answer that was owed");
+      bool final = t.end == TryEnd::kServed || t.end == TryEnd::kRefused || t.end == TryEnd::kFailed;
+      if (!final) continue;
+      for (const auto* a : attempts)
+        if (a->router < routers_ && a->first_byte > t.ended + kOrderSlack)
+          broken(kNothingAfter, id_of(t), a->first_byte,
+                 "sent to " + name(a->server) + " " +
+                     kit::duration_text(a->first_byte - t.ended) + " after its final answer");
+      held_back(t, attempts);
+    }
+  }
+
+  std::string name(int server) const { return history_.servers[static_cast<std::size_t>(server)]; }
+
+  void lost(const kit::TryRecord& t, const std::vector<const kit::AttemptRecord*>& attempts) {
+    std::string r = "r" + std::to_string(t.router + 1);
+    switch (t.end) {
+      case TryEnd::kServed: {
+        bool made = std::any_of(attempts.begin(), attempts.end(), [&](auto* a) {
+          return (a->answered == Answered::kServed || a->answered == Answered::kSpoilt) &&
+                 a->value == t.value;
+        });
+        if (!made)
+          broken(kNoRequestLost, id_of(t), t.ended,
+                 r + " served what no price cache made for this request");
+        break;
+      }
+      case TryEnd::kGarbled:
+        broken(kNoRequestLost, id_of(t), t.ended,
+               r + " answered with what can't be read or belongs to another request");
+        break;
+      case TryEnd::kSilent:
+        if (t.sent && !excused(t))
+          broken(kNoRequestLost, id_of(t), t.ended,
+                 r + " gave no answer within " + kit::duration_text(t.wait) + " and the slack");
+        break;
+      case TryEnd::kClosed:
+        // One that crosses the close of a kept connection was not taken: its client asks again.
+        if (!excused(t) && !(t.kept_connection && attempts.empty()) && t.sent)
+          broken(kNoRequestLost, id_of(t), t.ended, r + " closed the connection with no answer");
+        break;
+      default:
+        break;
+    }
+  }
+
+  /// A refusal or failure is owed as soon as nothing is under way for it.
+  void held_back(const kit::TryRecord& t, const std::vector<const kit::AttemptRecord*>& attempts) {
+    if (t.end != TryEnd::kRefused && t.end != TryEnd::kFailed) return;
+    Micros last = t.sent;
+    for (const auto* a : attempts) {
+      if (a->ended == 0) return;  // under way as far as anybody can tell
+      last = std::max(last, a->ended);
+    }
+    Micros idle = t.ended - last;
+    if (idle <= day_.expect.held_back || unseen(last, t.ended) || excused(t)) return;
+    broken(kAnsweredAtOnce, id_of(t), t.ended,
+           std::string(t.end == TryEnd::kRefused ? "refused" : "failed") + " " +
+               kit::duration_text(idle) + " after the last thing that was done for it");
+  }
+
+  void effects() {
+    std::unordered_map<std::uint64_t, std::vector<const kit::EffectRecord*>> by_request;
+    for (const auto& e : history_.effects)
+      if (e.request != kit::kNoRequest) by_request[e.request].push_back(&e);
+    for (auto& [request, list] : by_request) {
+      if (list.size() < 2) continue;
+      // Only keyed writes have effects, and tills keep their key over their tries.
+      const auto* second = list[1];
+      broken(kNoEffectTwice, standin::request_id(request, 0), second->at,
+             std::to_string(list.size()) + " effects of one sale, the second at " +
+                 name(second->server) + " " + kit::duration_text(second->at - list[0]->at) +
+                 " after the first");
+    }
+  }
+
+  void drains() {
+    // By router and price cache, what discovery had told at which time.
+    std::map<std::pair<int, int>, std::vector<const kit::ToldRecord*>> told;
+    for (const auto& t : history_.told) told[{t.router, t.server}].push_back(&t);
+    Micros grace = day_.expect.drain_grace + kOrderSlack;
+    for (const auto& a : history_.attempts) {
+      if (a.router < 0 || a.router >= routers_) continue;
+      auto it = told.find({a.router, a.server});
+      if (it == told.end()) continue;
+      Micros life = 0;  // a process knows only what was told to it
+      for (const auto& l : history_.lives)
+        if (l.router == a.router && l.started <= a.first_byte) life = std::max(life, l.started);
+      const kit::ToldRecord* latest = nullptr;
+      const kit::ToldRecord* since = nullptr;  // when it was first told what holds now
+      for (const auto* t : it->second) {
+        if (t->at > a.first_byte || t->at < life) continue;
+        bool ready = t->health == Health::Ready;
+        if (!latest || ready != (latest->health == Health::Ready)) since = t;
+        latest = t;
+      }
+      if (!latest || latest->health == Health::Ready) continue;
+      Micros read = since->at;  // a frozen process reads nothing
+      for (const auto& l : history_.lives)
+        for (auto [from, until] : l.frozen)
+          if (l.router == a.router && from <= read && until > read) read = until;
+      if (a.first_byte <= read + grace) continue;
+      broken(kDrainsKept,
+             a.request == kit::kNoRequest ? "" : standin::request_id(a.request, a.attempt_try),
+             a.first_byte,
+             "r" + std::to_string(a.router + 1) + " sent to " + name(a.server) + " " +
+                 kit::duration_text(a.first_byte - since->at) + " after it was told that it " +
+                 (latest->health == Health::Gone ? "is gone" : "drains"));
+    }
+  }
+
+  void cold() {
+    for (auto [server, at] : history_.fallen)
+      broken(kNotPushedOver, "", at, name(server) + " was pushed over while cold");
+  }
+
+  void lives() {
+    for (const auto& life : history_.lives) {
+      std::string r = "r" + std::to_string(life.router + 1);
+      if (life.crashed) broken(kRoutersLive, "", life.ended, r + " ended by itself: " + life.how);
+      if (life.ready == 0 && !life.ended && history_.ended - life.started > day_.rig.ready_within)
+        broken(kRoutersLive, "", life.started, r + " was never ready");
+    }
+  }
+
+  struct Sum {
+    double worth = 0, asked = 0;
+    double part() const { return asked > 0 ? worth / asked : 1; }
+  };
+
+  void service() {
+    std::vector<const kit::TryRecord*> end(plan_.requests.size(), nullptr);
+    std::vector<Micros> served_at(plan_.requests.size(), 0);
+    for (const auto& t : history_.tries) {
+      if (t.end == TryEnd::kServed && !served_at[t.request]) served_at[t.request] = t.ended;
+      end[t.request] = &t;  // the last try tells how the request ended
+    }
+    const Tills& tills = day_.tills;
+    auto windows = static_cast<std::size_t>((day_.length + kWindow - 1) / kWindow);
+    std::vector<Sum> by_class(tills.classes.size()), by_banner(tills.banners.size()), by_window(windows);
+    std::vector<std::vector<Micros>> class_times(tills.classes.size()), banner_times(tills.banners.size()),
+        window_times(windows);
+    std::vector<Micros> all, direct;
+    v_.classes.resize(tills.classes.size());
+    v_.banners.resize(tills.banners.size());
+    v_.windows.resize(windows);
+    Sum whole;
+    for (std::size_t k = 0; k < plan_.requests.size(); ++k) {
+      const PlannedRequest& r = plan_.requests[k];
+      if (!end[k]) continue;  // cut short
+      Micros took = served_at[k] ? served_at[k] - (history_.origin + r.at) : 0;
+      if (r.direct) {
+        ++v_.direct;
+        if (served_at[k]) direct.push_back(took);
+        continue;
+      }
+      auto c = static_cast<std::size_t>(r.type), b = static_cast<std::size_t>(r.banner);
+      auto w = std::min(static_cast<std::size_t>(r.at / kWindow), windows - 1);
+      const TillClass& type = tills.classes[c];
+      double asked = type.worth * static_cast<double>(r.hint);
+      bool served = served_at[k] != 0, in_aim = served && took <= type.wanted;
+      double worth = in_aim ? asked : served && took <= type.gives_up ? asked * type.late_worth : 0;
+      for (Sum* sum : {&whole, &by_class[c], &by_banner[b], &by_window[w]}) {
+        sum->asked += asked;
+        sum->worth += worth;
+      }
+      ++v_.requests;
+      for (ClassFigures* f : {&v_.classes[c], &v_.banners[b]}) {
+        ++f->asked;
+        f->served += served;
+        f->in_aim += in_aim;
+      }
+      Window& window = v_.windows[w];
+      ++window.asked;
+      if (served) {
+        ++v_.served, ++window.served;
+        all.push_back(took);
+        class_times[c].push_back(took);
+        banner_times[b].push_back(took);
+        window_times[w].push_back(took);
+      } else if (end[k]->end == TryEnd::kRefused) {
+        ++v_.refused, ++window.refused;
+      } else if (end[k]->end == TryEnd::kLeft) {
+        ++v_.left, ++window.failed;
+      } else {
+        ++v_.failed, ++window.failed;
+      }
+    }
+    v_.service = whole.part();
+    v_.p50 = quantile(all, 0.5), v_.p99 = quantile(all, 0.99);
+    v_.direct_p50 = quantile(direct, 0.5), v_.direct_p99 = quantile(direct, 0.99);
+    auto complete = [&](ClassFigures& f, const std::string& name, const Sum& sum, std::vector<Micros>& times) {
+      f.name = name;
+      f.service = sum.part();
+      f.p50 = quantile(times, 0.5), f.p99 = quantile(times, 0.99);
+    };
+    for (std::size_t k = 0; k < v_.classes.size(); ++k)
+      complete(v_.classes[k], tills.classes[k].name, by_class[k], class_times[k]);
+    for (std::size_t k = 0; k < v_.banners.size(); ++k)
+      complete(v_.banners[k], tills.banners[k].name, by_banner[k], banner_times[k]);
+    for (std::size_t k = 0; k < windows; ++k) {
+      v_.windows[k].from = static_cast<Micros>(k) * kWindow;
+      v_.windows[k].service = by_window[k].part();
+      v_.windows[k].p50 = quantile(window_times[k], 0.5);
+      v_.windows[k].p99 = quantile(window_times[k], 0.99);
+    }
+    added_time();
+  }
+
+  /// What the router itself adds: the till's time less the price cache's, of one-attempt reads.
+  void added_time() {
+    std::vector<Micros> added;
+    for (const auto& t : history_.tries) {
+      if (t.router >= routers_ || t.end != TryEnd::kServed || t.sent == 0) continue;
+      const auto& attempts = attempts_of(t);
+      if (attempts.size() != 1 || attempts[0]->ended == 0) continue;
+      added.push_back((t.ended - t.sent) - (attempts[0]->ended - attempts[0]->first_byte));
+    }
+    v_.routed_p50 = quantile(added, 0.5), v_.routed_p99 = quantile(added, 0.99);
+  }
+
+  void resources() {
+    v_.routers.resize(static_cast<std::size_t>(routers_));
+    std::vector<std::uint64_t> counts(static_cast<std::size_t>(routers_) * 4, 0);
+    for (const auto& s : history_.router_samples) {
+      auto r = static_cast<std::size_t>(s.router);
+      auto quarter = static_cast<std::size_t>(
+          std::clamp<Micros>((s.at - history_.origin) * 4 / day_.length, 0, 3));
+      RouterFigures& f = v_.routers[r];
+      f.memory_quarters[quarter] += s.memory;
+      ++counts[r * 4 + quarter];
+      f.memory_most = std::max(f.memory_most, s.memory);
+      f.descriptor_quarters[quarter] = std::max(f.descriptor_quarters[quarter], s.descriptors);
+    }
+    for (std::size_t r = 0; r < v_.routers.size(); ++r)
+      for (std::size_t q = 0; q < 4; ++q)
+        if (counts[r * 4 + q]) v_.routers[r].memory_quarters[q] /= counts[r * 4 + q];
+    for (const auto& t : history_.tries)
+      if (t.router >= 0 && t.router < routers_) ++v_.routers[static_cast<std::size_t>(t.router)].tries;
+  }
+
+  void check(const std::string& name, bool held, const std::string& wanted, const std::string& got) {
+    v_.checks.push_back({name, wanted, got, held});
+  }
+  void at_least(const std::string& name, double wanted, double got) {
+    if (wanted >= 0) check(name, got >= wanted, "at least " + percent(wanted), percent(got));
+  }
+
+  void expectations() {
+    const Expect& x = day_.expect;
+    at_least("service", x.service, v_.service);
+    double worst = 1;
+    for (const Window& w : v_.windows)
+      if (w.asked) worst = std::min(worst, w.service);
+    at_least("worst_window", x.worst_window, worst);
+    auto lowest = [](const std::vector<ClassFigures>& list) {
+      double low = 1;
+      for (const auto& f : list)
+        if (f.asked) low = std::min(low, f.service);
+      return low;
+    };
+    at_least("worst_class", x.worst_class, lowest(v_.classes));
+    at_least("worst_banner", x.worst_banner, lowest(v_.banners));
+    double requests = static_cast<double>(std::max<std::uint64_t>(v_.requests, 1));
+    at_least("served", x.served, static_cast<double>(v_.served) / requests);
+    if (x.refused_below >= 0) {
+      double part = static_cast<double>(v_.refused) / requests;
+      check("refused_below", part < x.refused_below, "below " + percent(x.refused_below), percent(part));
+    }
+    for (const auto& [name, limit] : x.p99)
+      for (const auto& f : v_.classes)
+        if (f.name == name)
+          check("p99 of " + name, f.served > 0 && f.p99 <= limit, "at most " + kit::duration_text(limit),
+                f.served ? kit::duration_text(f.p99) : "none served");
+    for (std::size_t r = 0; r < v_.routers.size(); ++r) {
+      const RouterFigures& f = v_.routers[r];
+      std::string router = " of r" + std::to_string(r + 1);
+      auto mib = [](std::uint64_t bytes) {
+        char text[32];
+        std::snprintf(text, sizeof text, "%.1f MiB", static_cast<double>(bytes) / 1048576);
+        return std::string(text);
+      };
+      check("memory" + router, f.memory_most < x.memory_below, "below " + mib(x.memory_below),
+            mib(f.memory_most));
+      int most = *std::max_element(std::begin(f.descriptor_quarters), std::end(f.descriptor_quarters));
+      check("descriptors" + router, most < x.descriptors_below,
+            "below " + std::to_string(x.descriptors_below), std::to_string(most));
+      if (x.memory_growth_below >= 0 && f.memory_quarters[1] && f.memory_quarters[3]) {
+        double growth = static_cast<double>(f.memory_quarters[3]) / static_cast<double>(f.memory_quarters[1]) - 1;
+        check("memory growth" + router, growth < x.memory_growth_below,
+              "below " + percent(x.memory_growth_below), percent(growth));
+      }
+    }
+    if (v_.requests == 0) check("requests", false, "some", "none was played");
+  }
+
+  const Day& day_;
+  const Plan& plan_;
+  const kit::History& history_;
+  int routers_;
+  std::unordered_map<std::uint64_t, std::vector<const kit::AttemptRecord*>> attempts_;
+  Verdict v_;
+};
+
+}  // namespace
+
+bool Verdict::pass() const {
+  return broken.empty() && std::all_of(checks.begin(), checks.end(), [](auto& c) { return c.held; });
+}
+
+Verdict judge(const Day& day, const Plan& plan, const kit::History& history) {
+  return Judge(day, plan, history).run();
+}
+
+}  // namespace violetusher::rehearse
--- /dev/null
+++ b/src/kit/rehearse/rig.hpp
@@ -0,0 +1,37 @@
+// Plays a day: stand-ins and tills on a thread each, the routers' processes on the caller's.
+#pragma once
+
+#include <string>
+
+#include "day.hpp"
+#include "kit/common/history.hpp"
+#include "kit/common/loop.hpp"
+#include "plan.hpp"
+
+namespace violetusher::rehearse {
+
+struct RigFigures {
+  kit::Lateness tills;     ///< from the intended to the real moment of sending
+  kit::Lateness standins;  ///< of the stand-ins' timers
+  std::uint64_t out_of_sockets = 0;
+  bool interrupted = false;
+  std::string trouble;  ///< why nothing can be judged; empty where all is well
+};
+
+struct Played {
+  kit::History history;
+  RigFigures rig;
+  std::string router_logs;  ///< the last of what each wrote, where one ended badly
+  std::string not_started;  ///< a router that did not come up, which is a verdict
+};
+
+struct RigOptions {
+  std::string router;      ///< the program
+  bool progress = true;    ///< on standard error
+};
+
+/// Plays `plan` and ends all it has started. Throws std::runtime_error where the machine gives no
+/// socket, thread or process: nothing can be judged then.
+Played play(const Day& day, const Plan& plan, const RigOptions& options);
+
+}  // namespace violetusher::rehearse
--- /dev/null
+++ b/src/kit/rehearse/routers.cpp
@@ -0,0 +1,399 @@
+#include "routers.hpp"
+
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/mman.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+
+#include "kit/common/random.hpp"
+
+extern char** environ;
+
+namespace violetusher::rehearse {
+namespace {
+
+constexpr Micros kReapEvery = 5'000, kSampleEvery = 500'000, kReadyEvery = 10'000;
+constexpr Micros kEndsWithin = 5'000'000;  // after SIGTERM; PROTOCOL gives 0.7 s more than a deadline
+constexpr int kAnswerMs = 200;
+constexpr int kConfigFd = 3, kFirstFree = 4;
+constexpr off_t kMostLog = 4096;
+
+std::string how_ended(int status) {
+  if (WIFSIGNALED(status)) return std::string("signal ") + strsignal(WTERMSIG(status));
+  return "exit code " + std::to_string(WEXITSTATUS(status));
+}
+
+void write_all(int fd, const std::string& text) {
+  if (::ftruncate(fd, 0) != 0 ||
+      ::pwrite(fd, text.data(), text.size(), 0) != static_cast<ssize_t>(text.size()))
+    throw std::runtime_error(std::string("memory file: ") + std::strerror(errno));
+}
+
+std::uint64_t resident_bytes(int pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
+  std::uint64_t total = 0, resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
+int descriptors(int pid) {
+  DIR* folder = ::opendir(("/proc/" + std::to_string(pid) + "/fd").c_str());
+  if (!folder) return 0;
+  int count = 0;
+  while (const dirent* entry = ::readdir(folder))
+    if (entry->d_name[0] != '.') ++count;
+  ::closedir(folder);
+  return count;
+}
+
+}  // namespace
+
+RouterProcesses::RouterProcesses(kit::Loop& loop, const Day& day, std::uint64_t seed,
+                                 std::string program, std::vector<Told> told,
+                                 kit::History& history, std::function<void(int, bool)> changed)
+    : loop_(loop),
+      day_(day),
+      seed_(seed),
+      program_(std::move(program)),
+      told_(std::move(told)),
+      history_(history),
+      changed_(std::move(changed)),
+      processes_(day.routers.halls.size()) {
+  for (Process& p : processes_) {
+    p.holder = net::Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    int yes = 1;
+    ::setsockopt(p.holder.get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    if (::bind(p.holder.get(), reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+        ::getsockname(p.holder.get(), reinterpret_cast<sockaddr*>(&address), &size) != 0)
+      throw std::runtime_error(std::string("no port for a router: ") + std::strerror(errno));
+    p.port = ntohs(address.sin_port);
+    p.config = net::Fd(::memfd_create("router-config", MFD_CLOEXEC));
+    p.log = net::Fd(::memfd_create("router-log", MFD_CLOEXEC));
+    if (!p.config || !p.log) throw std::runtime_error("no memory file for a router");
+  }
+}
+
+RouterProcesses::~RouterProcesses() {
+  for (Process& p : processes_) {
+    if (p.pid <= 0) continue;
+    ::kill(p.pid, SIGKILL);
+    ::waitpid(p.pid, nullptr, 0);
+  }
+}
+
+std::string RouterProcesses::address(int router) const {
+  return "127.0.0.1:" + std::to_string(processes_[static_cast<std::size_t>(router)].port);
+}
+
+std::string RouterProcesses::config_text(int router) const {
+  using Json = nlohmann::json;
+  const auto& fleet = day_.fleet;
+  auto at = static_cast<std::size_t>(router);
+  Json classes = Json::array(), tenants = Json::array();
+  for (const TillClass& c : day_.tills.classes)
+    classes.push_back({{"Name", c.name},
+                       {"Effect", c.keyed ? "by_key" : "repeatable"},
+                       {"Group", "all"},
+                       {"KeyTtlUs", c.keyed ? fleet.repeat_window : 0},
+                       {"ObjectiveUs", c.wanted},
+                       {"DeadlineUs", c.gives_up},
+                       {"Worth", c.worth},
+                       {"LateWorth", c.late_worth}});
+  double work = 0;
+  for (const TillClass& c : day_.tills.classes) work += c.share * static_cast<double>(c.work);
+  double cores = 0;
+  for (const auto& s : fleet.servers) {
+    const auto& kind = fleet.kinds[static_cast<std::size_t>(s.kind)];
+    cores += kind.cores * kind.speed;
+  }
+  for (const Banner& b : day_.tills.banners)
+    tenants.push_back({{"Name", b.name},
+                       {"Portion", b.share},
+                       {"QuotaPerS", 0.85 * b.share * cores / (work / 1e6)}});
+  Json settings{
+      {"Balancers", day_.routers.halls.size()},
+      {"Az", fleet.halls[static_cast<std::size_t>(day_.routers.halls[at])]},
+      {"FailureDomains", fleet.halls},
+      {"TickUs", 1000},
+      {"MembershipMode", "subscribe"},
+      {"ValueBy", "work"},
+      {"OverShareWorth", 0.05},
+      {"Classes", classes},
+      {"Tenants", tenants},
+      {"Report", {{"How", "inline"}, {"Fields", {"load_share", "mean_ms", "x0"}}}},
+      {"Charges", {{"CrossZone", 0.12}, {"Waste", 0.06}, {"LateFail", 0.045}}},
+      {"Limits",
+       {{"MaxAttempts", day_.routers.max_attempts},
+        {"MayCancel", true},
+        {"SecondCopies", true},
+        {"RetryAfter", day_.routers.retry_after},
+        {"MaxRetryAfterUs", 1'000'000},
+        {"StreamsPerConn", fleet.streams},
+        {"KeepaliveUs", fleet.idle_close},
+        {"DialTimeoutUs", 75'000}}},
+      {"Rules",
+       {{"AnswerSlackUs", day_.expect.answer_slack},
+        {"AskWithinUs", 10'000'000},
+        {"DrainGraceUs", day_.expect.drain_grace},
+        {"ColdShare", fleet.cold_share},
+        {"ColdUs", fleet.warm_up},
+        {"OverloadFactor", fleet.fall_multiple},
+        {"TipAfterUs", fleet.fall_after}}}};
+  char seed[24];
+  std::snprintf(seed, sizeof seed, "%016llx",
+                static_cast<unsigned long long>(kit::Draws(seed_).bits(
+                    kit::Stream::kRouterSeed, static_cast<std::uint64_t>(router), starts_)));
+  Json config{{"name", "r" + std::to_string(router + 1)},
+              {"listen", address(router)},
+              {"discovery", told_[at].discovery},
+              {"seed", seed},
+              {"limits",
+               {{"cores", 1.0},
+                {"memory_mb", day_.routers.memory >> 20},
+                {"sockets", day_.routers.sockets}}},
+              {"known", Json::parse(told_[at].known)},
+              {"settings", settings}};
+  return config.dump();
+}
+
+void RouterProcesses::spawn(int router) {
+  Process& p = processes_[static_cast<std::size_t>(router)];
+  ++starts_;
+  write_all(p.config.get(), config_text(router));
+  // All that the child needs is made before the fork: other threads run, and between fork and exec
+  // only calls that are safe in a signal handler are allowed.
+  std::vector<std::string> variables{"NODE_CONFIG=/proc/self/fd/" + std::to_string(kConfigFd)};
+  for (char** e = environ; *e; ++e)
+    if (std::strncmp(*e, "NODE_", 5) != 0) variables.emplace_back(*e);
+  std::vector<char*> env;
+  for (std::string& v : variables) env.push_back(v.data());
+  env.push_back(nullptr);
+  char* arguments[] = {program_.data(), nullptr};
+  int config = p.config.get(), log = p.log.get(), parent = ::getpid();
+  int nothing = ::open("/dev/null", O_RDWR | O_CLOEXEC);
+  auto limit = static_cast<rlim_t>(day_.routers.sockets);
+  int pid = ::fork();
+  if (pid < 0) throw std::runtime_error(std::string("fork: ") + std::strerror(errno));
+  if (pid == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // whatever ends the rig, its routers end with it
+    if (::getppid() != parent) ::_exit(127);
+    ::setpgid(0, 0);  // a Ctrl-C is for the rig, which ends its routers in order
+    ::dup2(nothing, 0);
+    ::dup2(log, 1);
+    ::dup2(log, 2);
+    if (config == kConfigFd)
+      ::fcntl(config, F_SETFD, 0);
+    else
+      ::dup2(config, kConfigFd);
+    ::close_range(kFirstFree, ~0u, 0);
+    rlimit descriptors{limit, limit};
+    ::setrlimit(RLIMIT_NOFILE, &descriptors);
+    ::signal(SIGPIPE, SIG_DFL);
+    ::execve(arguments[0], arguments, env.data());
+    ::_exit(127);
+  }
+  ::close(nothing);
+  p.pid = pid;
+  p.expected_end = p.start_again = false;
+  p.kill_at = 0;
+  p.life = history_.lives.size();
+  kit::RouterLife life;
+  life.router = router;
+  life.started = loop_.now();
+  history_.lives.push_back(life);
+}
+
+bool RouterProcesses::answers(int router) const {
+  net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(processes_[static_cast<std::size_t>(router)].port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) return false;
+  if (::send(fd.get(), "mn\r\n", 4, MSG_NOSIGNAL) != 4) return false;
+  pollfd poll{fd.get(), POLLIN, 0};
+  char bytes[8];
+  return ::poll(&poll, 1, kAnswerMs) == 1 && ::recv(fd.get(), bytes, sizeof bytes, 0) >= 2 &&
+         bytes[0] == 'M' && bytes[1] == 'N';
+}
+
+bool RouterProcesses::start_all(std::string& error) {
+  for (std::size_t r = 0; r < processes_.size(); ++r) spawn(static_cast<int>(r));
+  Micros limit = loop_.now() + day_.rig.ready_within;
+  for (std::size_t r = 0; r < processes_.size(); ++r) {
+    while (!answers(static_cast<int>(r))) {
+      int status = 0;
+      if (::waitpid(processes_[r].pid, &status, WNOHANG) == processes_[r].pid) {
+        processes_[r].pid = -1;
+        error = "r" + std::to_string(r + 1) + " ended before it was ready (" + how_ended(status) +
+                "): " + log(static_cast<int>(r));
+        return false;
+      }
+      if (loop_.now() > limit) {
+        error = "r" + std::to_string(r + 1) + " was not ready in time: " + log(static_cast<int>(r));
+        return false;
+      }
+      std::this_thread::sleep_for(std::chrono::microseconds(kReadyEvery));
+    }
+    history_.lives[processes_[r].life].ready = loop_.now();
+  }
+  return true;
+}
+
+void RouterProcesses::until_ready(int router, Micros since) {
+  Process& p = processes_[static_cast<std::size_t>(router)];
+  if (ending_ || p.pid <= 0 || history_.lives[p.life].started != since) return;
+  if (answers(router)) {
+    history_.lives[p.life].ready = loop_.now();
+    changed_(router, true);
+    return;
+  }
+  loop_.at(loop_.now() + kReadyEvery, [this, router, since] { until_ready(router, since); });
+}
+
+void RouterProcesses::begin(Micros origin) {
+  for (const RouterFault& fault : day_.router_faults)
+    loop_.at(origin + fault.at, [this, &fault] { act(fault); });
+  watch();
+  sample();
+}
+
+void RouterProcesses::act(const RouterFault& fault) {
+  for (int router : fault.routers) {
+    Process& p = processes_[static_cast<std::size_t>(router)];
+    if (p.pid <= 0) continue;
+    kit::RouterLife& life = history_.lives[p.life];
+    switch (fault.kind) {
+      case RouterFaultKind::kRestart:
+        p.expected_end = p.start_again = true;
+        p.kill_at = loop_.now() + kEndsWithin;
+        life.signalled = loop_.now();
+        changed_(router, false);
+        ::kill(p.pid, SIGTERM);
+        break;
+      case RouterFaultKind::kKill:
+        p.expected_end = true;
+        life.killed = true;
+        ::kill(p.pid, SIGKILL);
+        changed_(router, false);
+        loop_.at(loop_.now() + (fault.until - fault.at), [this, router] {
+          reap();
+          spawn(router);
+          until_ready(router, history_.lives.back().started);
+        });
+        break;
+      case RouterFaultKind::kReload:
+        ::kill(p.pid, SIGHUP);
+        break;
+      case RouterFaultKind::kFreeze:
+        life.frozen.emplace_back(loop_.now(), loop_.now() + (fault.until - fault.at));
+        ::kill(p.pid, SIGSTOP);
+        changed_(router, false);
+        loop_.at(life.frozen.back().second, [this, router, pid = p.pid] {
+          Process& now = processes_[static_cast<std::size_t>(router)];
+          if (now.pid != pid) return;
+          ::kill(pid, SIGCONT);
+          history_.lives[now.life].frozen.back().second = loop_.now();
+          changed_(router, true);
+        });
+        break;
+    }
+  }
+}
+
+void RouterProcesses::reap() {
+  for (std::size_t r = 0; r < processes_.size(); ++r) {
+    Process& p = processes_[r];
+    if (p.pid <= 0) continue;
+    if (p.kill_at && loop_.now() > p.kill_at) {
+      history_.lives[p.life].crashed = true;  // it was told to end and did not
+      crashed_ = true;
+      ::kill(p.pid, SIGKILL);
+    }
+    int status = 0;
+    if (::waitpid(p.pid, &status, WNOHANG) != p.pid) continue;
+    kit::RouterLife& life = history_.lives[p.life];
+    life.ended = loop_.now();
+    life.how = how_ended(status);
+    bool clean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    if (!p.expected_end || (!clean && !life.killed)) {
+      life.crashed = true;
+      crashed_ = true;
+      changed_(static_cast<int>(r), false);
+    }
+    p.pid = -1;
+    if (p.start_again && !ending_) {
+      spawn(static_cast<int>(r));
+      until_ready(static_cast<int>(r), history_.lives.back().started);
+    }
+  }
+}
+
+void RouterProcesses::watch() {
+  reap();
+  loop_.at(loop_.now() + kReapEvery, [this] { watch(); });
+}
+
+void RouterProcesses::sample() {
+  for (std::size_t r = 0; r < processes_.size(); ++r) {
+    const Process& p = processes_[r];
+    if (p.pid <= 0 || history_.lives[p.life].ready == 0) continue;
+    history_.router_samples.push_back(
+        {static_cast<int>(r), loop_.now(), resident_bytes(p.pid), descriptors(p.pid)});
+  }
+  loop_.at(loop_.now() + kSampleEvery, [this] { sample(); });
+}
+
+void RouterProcesses::stop_all() {
+  ending_ = true;
+  for (Process& p : processes_) {
+    if (p.pid <= 0) continue;
+    p.expected_end = true;
+    ::kill(p.pid, SIGCONT);
+    ::kill(p.pid, SIGTERM);
+  }
+  Micros limit = loop_.now() + kEndsWithin;
+  auto running = [&] {
+    reap();
+    for (const Process& p : processes_)
+      if (p.pid > 0) return true;
+    return false;
+  };
+  while (running()) {
+    if (loop_.now() > limit)
+      for (Process& p : processes_)
+        if (p.pid > 0) p.kill_at = 1;
+    std::this_thread::sleep_for(std::chrono::microseconds(kReapEvery));
+  }
+}
+
+std::string RouterProcesses::log(int router) const {
+  int fd = processes_[static_cast<std::size_t>(router)].log.get();
+  struct stat info {};
+  if (::fstat(fd, &info) != 0) return {};
+  off_t size = info.st_size, from = std::max<off_t>(0, size - kMostLog);
+  std::string text(static_cast<std::size_t>(size - from), '\0');
+  ssize_t got = ::pread(fd, text.data(), text.size(), from);
+  text.resize(static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+  return text;
+}
+
+}  // namespace violetusher::rehearse
--- /dev/null
+++ b/src/kit/rehearse/routers.hpp
@@ -0,0 +1,72 @@
+// The real routers of a day: processes that are started, watched, restarted as the script has it,
+// and ended with the rig however that ends. Nothing is written to a disk: configurations and logs
+// live in memory files that go with their last user.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "day.hpp"
+#include "kit/common/history.hpp"
+#include "kit/common/loop.hpp"
+
+namespace violetusher::rehearse {
+
+class RouterProcesses {
+ public:
+  struct Told {
+    std::string discovery, known;  ///< address, and the list as JSON
+  };
+  /// `changed`: called with a router and whether the front may use it.
+  RouterProcesses(kit::Loop& loop, const Day& day, std::uint64_t seed, std::string program,
+                  std::vector<Told> told, kit::History& history,
+                  std::function<void(int, bool)> changed);
+  /// Kills what still runs.
+  ~RouterProcesses();
+
+  std::string address(int router) const;
+  /// Starts all and waits until each has said that it is ready. False with the reason.
+  bool start_all(std::string& error);
+  /// Events of the day and samples from now on.
+  void begin(Micros origin);
+  /// Planned end of all; waits for it, then kills.
+  void stop_all();
+  /// What a router wrote, the last bytes of it.
+  std::string log(int router) const;
+  /// A process ended that should not have.
+  bool crashed() const { return crashed_; }
+
+ private:
+  struct Process {
+    net::Fd holder;  // keeps the port over restarts; never listens
+    int port = 0;
+    net::Fd config, log;
+    int pid = -1;
+    std::size_t life = 0;
+    bool expected_end = false;
+    bool start_again = false;
+    Micros kill_at = 0;
+  };
+  void spawn(int router);
+  std::string config_text(int router) const;
+  bool answers(int router) const;
+  void reap();
+  void watch();
+  void sample();
+  void act(const RouterFault& fault);
+  void until_ready(int router, Micros since);
+
+  kit::Loop& loop_;
+  const Day& day_;
+  std::uint64_t seed_;
+  std::string program_;
+  std::vector<Told> told_;
+  kit::History& history_;
+  std::function<void(int, bool)> changed_;
+  std::vector<Process> processes_;
+  std::uint64_t starts_ = 0;
+  bool crashed_ = false, ending_ = false;
+};
+
+}  // namespace violetusher::rehearse
--- /dev/null
+++ b/src/kit/rehearse/tills.cpp
@@ -0,0 +1,327 @@
+#include "tills.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <stdexcept>
+
+namespace violetusher::rehearse {
+namespace {
+
+using kit::Stream;
+using kit::TryEnd;
+
+constexpr std::size_t kMostLine = 4096, kMostValue = 128u << 10;
+constexpr Micros kTooLateToRetry = 20'000;  // a try with less time left is not begun
+constexpr int kDirectConnections = 64;
+
+}  // namespace
+
+/// One connection: one request at a time, as the tills of the platform use them.
+class TillSide::Wire {
+ public:
+  Wire(TillSide& owner, int target, net::Fd fd) : owner_(owner), target_(target), fd_(std::move(fd)) {
+    event_base* base = owner_.loop_.base();
+    read_.reset(event_new(base, fd_.get(), EV_READ | EV_PERSIST, on_read, this));
+    write_.reset(event_new(base, fd_.get(), EV_WRITE, on_write, this));
+    event_add(read_.get(), nullptr);
+  }
+  int target() const { return target_; }
+  bool used() const { return served_ > 0; }
+
+  void ask(std::uint64_t attempt, const std::string& id, std::string command) {
+    attempt_ = attempt;
+    busy_ = true;
+    id_ = id;
+    out_ = std::move(command);
+    in_.clear();
+    push();
+  }
+  /// The try is over for its till.
+  void abandon() {
+    busy_ = false;
+    owner_.drop(*this);
+  }
+  void shut() {
+    read_.reset();
+    write_.reset();
+    fd_.reset();
+  }
+  bool asks(std::uint64_t attempt) const { return busy_ && attempt_ == attempt; }
+
+ private:
+  static void on_write(evutil_socket_t, short, void* self) { static_cast<Wire*>(self)->push(); }
+  static void on_read(evutil_socket_t, short, void* self) { static_cast<Wire*>(self)->pull(); }
+  kit::TryRecord& record() { return owner_.history_.tries[attempt_]; }
+
+  void push() {
+    while (!out_.empty()) {
+      ssize_t put = ::send(fd_.get(), out_.data(), out_.size(), MSG_NOSIGNAL);
+      if (put < 0 && (errno == EAGAIN || errno == EINPROGRESS || errno == ENOTCONN)) {
+        event_add(write_.get(), nullptr);
+        return;
+      }
+      if (put <= 0) return end(record().kept_connection ? TryEnd::kClosed : TryEnd::kNoRouter);
+      out_.erase(0, static_cast<std::size_t>(put));
+    }
+    if (busy_ && record().sent == 0) record().sent = owner_.loop_.now();
+  }
+
+  void pull() {
+    char bytes[16384];
+    ssize_t got = ::recv(fd_.get(), bytes, sizeof bytes, 0);
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
+    if (got <= 0) {
+      if (!busy_) return owner_.drop(*this);
+      // Nothing was taken where the connection never came up.
+      return end(record().sent == 0 && !record().kept_connection ? TryEnd::kNoRouter
+                 : in_.empty() ? TryEnd::kClosed
+                               : TryEnd::kGarbled);
+    }
+    if (!busy_) {
+      // Bytes that nobody waits for: more than the one answer that was owed.
+      if (served_ > 0) record().extra = true;
+      return owner_.drop(*this);
+    }
+    in_.append(bytes, static_cast<std::size_t>(got));
+    take();
+  }
+
+  void take() {
+    std::size_t end_of_line = in_.find("\r\n");
+    if (end_of_line == in_.npos) {
+      if (in_.size() > kMostLine) end(TryEnd::kGarbled);
+      return;
+    }
+    std::string line = in_.substr(0, end_of_line);
+    std::size_t whole = end_of_line + 2;
+    TryEnd how = TryEnd::kFailed;
+    auto has_own_id = [&] {
+      std::size_t at = line.find(" O");
+      return at != line.npos && line.substr(at + 2, line.find(' ', at + 2) - at - 2) == id_;
+    };
+    if (line.rfind("VA ", 0) == 0) {
+      std::size_t length = 0;
+      std::from_chars(line.data() + 3, line.data() + line.size(), length);
+      if (length > kMostValue || !has_own_id()) return end(TryEnd::kGarbled);
+      if (in_.size() < whole + length + 2) return;
+      if (in_.compare(whole + length, 2, "\r\n") != 0) return end(TryEnd::kGarbled);
+      record().value = kit::hash_of(std::string_view(in_).substr(whole, length));
+      whole += length + 2;
+      how = TryEnd::kServed;
+    } else if (line.rfind("HD", 0) == 0) {
+      std::size_t at = line.find(" c");
+      if (!has_own_id() || at == line.npos) return end(TryEnd::kGarbled);
+      record().value = kit::hash_of(line.substr(at + 2, line.find(' ', at + 2) - at - 2));
+      how = TryEnd::kServed;
+    } else if (line.rfind("SERVER_ERROR busy", 0) == 0) {
+      how = TryEnd::kRefused;
+      std::int64_t ms = 0;
+      if (line.size() > 18) std::from_chars(line.data() + 18, line.data() + line.size(), ms);
+      record().come_back = std::max<std::int64_t>(ms, 0) * 1000;
+    }
+    bool extra = in_.size() > whole;
+    if (extra) record().extra = true;
+    ++served_;
+    busy_ = false;
+    std::uint64_t attempt = attempt_;
+    if (extra)
+      owner_.drop(*this);
+    else
+      owner_.idle_[static_cast<std::size_t>(target_)].push_back(this);
+    owner_.ended(attempt, how);
+  }
+
+  void end(TryEnd how) {
+    std::uint64_t attempt = attempt_;
+    busy_ = false;
+    owner_.drop(*this);
+    owner_.ended(attempt, how);
+  }
+
+  TillSide& owner_;
+  int target_;
+  net::Fd fd_;
+  net::EventPtr read_, write_;
+  std::string id_, in_, out_;
+  std::uint64_t attempt_ = 0, served_ = 0;
+  bool busy_ = false;
+};
+
+TillSide::TillSide(kit::Loop& loop, const Day& day, const Plan& plan, std::vector<std::string> addresses,
+             kit::History& history)
+    : loop_(loop),
+      day_(day),
+      plan_(plan),
+      draws_(plan.seed),
+      history_(history),
+      alive_(day.routers.halls.size(), 1),
+      wires_(addresses.size()),
+      idle_(addresses.size()) {
+  for (const std::string& text : addresses) {
+    auto address = net::parse_address(text);
+    if (!address) throw std::runtime_error("no address: " + text);
+    addresses_.push_back(*address);
+  }
+  history_.tries.reserve(plan.requests.size() * 2);
+}
+
+TillSide::~TillSide() = default;
+
+void TillSide::start(Micros origin) {
+  origin_ = origin;
+  next_request();
+}
+
+void TillSide::next_request() {
+  if (next_ == plan_.requests.size()) return finish_if_done();
+  Micros at = origin_ + plan_.requests[next_].at;
+  loop_.at(at, [this] {
+    std::uint64_t request = next_++;
+    ++open_;
+    Micros intended = origin_ + plan_.requests[request].at;
+    lateness_.add(loop_.now() - intended);
+    send(request, 0, intended);
+    next_request();
+  });
+}
+
+int TillSide::choose_router(std::uint64_t request, int number) const {
+  int hall = plan_.requests[request].hall;
+  std::vector<int> own, any;
+  for (std::size_t r = 0; r < alive_.size(); ++r) {
+    if (!alive_[r]) continue;
+    any.push_back(static_cast<int>(r));
+    if (day_.routers.halls[r] == hall) own.push_back(static_cast<int>(r));
+  }
+  const auto& from = own.empty() ? any : own;
+  if (from.empty()) return -1;
+  return from[draws_.bits(Stream::kTill, request, static_cast<std::uint64_t>(number)) % from.size()];
+}
+
+int TillSide::limit(int target) const {
+  int routers = static_cast<int>(alive_.size());
+  return target < routers ? std::max(day_.routers.sockets / 3, 8) : kDirectConnections;
+}
+
+/// An idle connection, else a new one; none where the limit of the tills or of the rig is reached.
+TillSide::Wire* TillSide::wire_to(int target) {
+  auto at = static_cast<std::size_t>(target);
+  if (!idle_[at].empty()) {
+    Wire* wire = idle_[at].back();
+    idle_[at].pop_back();
+    return wire;
+  }
+  if (static_cast<int>(wires_[at].size()) >= limit(target)) return nullptr;
+  net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  if (!fd) {
+    ++out_of_sockets_;
+    return nullptr;
+  }
+  if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&addresses_[at]), sizeof(sockaddr_in)) != 0 &&
+      errno != EINPROGRESS) {
+    if (errno == EADDRNOTAVAIL) ++out_of_sockets_;
+    return nullptr;
+  }
+  wires_[at].push_back(std::make_unique<Wire>(*this, target, std::move(fd)));
+  return wires_[at].back().get();
+}
+
+void TillSide::drop(Wire& wire) {
+  auto at = static_cast<std::size_t>(wire.target());
+  std::erase(idle_[at], &wire);
+  auto it = std::find_if(wires_[at].begin(), wires_[at].end(),
+                         [&](auto& w) { return w.get() == &wire; });
+  if (it == wires_[at].end()) return;
+  wire.shut();
+  dropped_.push_back(std::move(*it));
+  wires_[at].erase(it);
+  if (dropped_.size() == 1) loop_.at(loop_.now(), [this] { dropped_.clear(); });
+}
+
+std::string TillSide::command_for(std::uint64_t request, int number, Micros wait) const {
+  const PlannedRequest& r = plan_.requests[request];
+  const TillClass& type = day_.tills.classes[static_cast<std::size_t>(r.type)];
+  std::string pairs = " O" + standin::request_id(request, number) + " Pc=" + type.name + ",t=" +
+                      day_.tills.banners[static_cast<std::size_t>(r.banner)].name +
+                      ",d=" + std::to_string(wait / 1000) + ",h=" + std::to_string(r.hint);
+  if (!type.keyed) return "mg " + r.key + " v" + pairs + "\r\n";
+  std::string value = "sale " + r.key;
+  return "ms " + r.key + " " + std::to_string(value.size()) + pairs + ",k=" + r.idempotency +
+         "\r\n" + value + "\r\n";
+}
+
+void TillSide::send(std::uint64_t request, int number, Micros intended) {
+  const PlannedRequest& r = plan_.requests[request];
+  const TillClass& type = day_.tills.classes[static_cast<std::size_t>(r.type)];
+  int routers = static_cast<int>(alive_.size());
+  int target = r.direct ? routers + static_cast<int>(kit::hash_of(r.key) %
+                                                    (addresses_.size() - alive_.size()))
+                        : choose_router(request, number);
+  Micros now = loop_.now();
+  Micros left = origin_ + r.at + type.gives_up - now;
+  kit::TryRecord record;
+  record.request = request;
+  record.number = number;
+  record.router = std::min(target, routers);
+  record.intended = intended;
+  record.wait = std::min(left, static_cast<Micros>(day_.tills.try_share *
+                                                   static_cast<double>(type.gives_up)));
+  record.wait = std::max<Micros>(record.wait / 1000 * 1000, 1000);
+  std::uint64_t attempt = history_.tries.size();
+  history_.tries.push_back(record);
+  ++counts_.sent;
+  if (number > 0) ++counts_.retries;
+  Wire* wire = target < 0 ? nullptr : wire_to(target);
+  if (!wire) return ended(attempt, TryEnd::kNoRouter);
+  history_.tries[attempt].kept_connection = wire->used();
+  auto at = static_cast<std::size_t>(target);
+  // The till looks at the end of its time and of the rules' slack, and leaves then; an impatient
+  // one leaves early.
+  auto look = [this, at, attempt](TryEnd how) {
+    for (auto& w : wires_[at])
+      if (w->asks(attempt)) {
+        w->abandon();
+        return ended(attempt, how);
+      }
+  };
+  loop_.at(now + history_.tries[attempt].wait + day_.expect.answer_slack,
+           [look] { look(TryEnd::kSilent); });
+  if (draws_.uniform(Stream::kTill, request, 1000 + static_cast<std::uint64_t>(number)) <
+          day_.tills.impatient &&
+      !r.direct)
+    loop_.at(now + day_.tills.leaves_after, [look] { look(TryEnd::kLeft); });
+  wire->ask(attempt, standin::request_id(request, number),
+            command_for(request, number, history_.tries[attempt].wait));
+}
+
+void TillSide::ended(std::uint64_t attempt, TryEnd end) {
+  kit::TryRecord& record = history_.tries[attempt];
+  if (record.end != TryEnd::kOpen) return;
+  Micros now = loop_.now();
+  record.end = end;
+  record.ended = now;
+  const PlannedRequest& r = plan_.requests[record.request];
+  const TillClass& type = day_.tills.classes[static_cast<std::size_t>(r.type)];
+  if (end == TryEnd::kServed) ++counts_.served;
+  if (end == TryEnd::kRefused) ++counts_.refused;
+  if (end != TryEnd::kServed && end != TryEnd::kRefused) ++counts_.failed;
+  Micros pause = std::max(day_.tills.retry_pause, record.come_back);
+  Micros again = now + pause;
+  if (end == TryEnd::kServed || record.number >= day_.tills.retries || r.direct ||
+      again + kTooLateToRetry > origin_ + r.at + type.gives_up) {
+    --open_;
+    return finish_if_done();
+  }
+  std::uint64_t request = record.request;
+  int number = record.number + 1;
+  loop_.at(again, [this, request, number, again] { send(request, number, again); });
+}
+
+void TillSide::finish_if_done() {
+  if (next_ == plan_.requests.size() && open_ == 0) loop_.stop();
+}
+
+}  // namespace violetusher::rehearse
--- /dev/null
+++ b/src/kit/rehearse/toml_reader.cpp
@@ -0,0 +1,178 @@
+#include "toml_reader.hpp"
+
+#include <cmath>
+
+#include "kit/common/units.hpp"
+
+namespace violetusher::rehearse {
+
+void complain(const std::string& file, const toml::source_region& where, const std::string& what) {
+  throw DayError(file + ":" + std::to_string(where.begin.line) + ": " + what);
+}
+
+void TableReader::bad(const char* key, const std::string& what) const {
+  const toml::node* node = table_.get(key);
+  std::string name = path_.empty() ? key : path_ + "." + key;
+  complain(file_, node ? node->source() : table_.source(), name + ": " + what);
+}
+
+void TableReader::bad_here(const std::string& what) const {
+  complain(file_, table_.source(), (path_.empty() ? "" : path_ + ": ") + what);
+}
+
+const toml::node* TableReader::find(const char* key) {
+  asked_.insert(key);
+  return table_.get(key);
+}
+
+std::string TableReader::text(const char* key, const std::string& absent) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  if (auto value = node->value_exact<std::string>()) return *value;
+  bad(key, "wants a text in quotes");
+}
+
+std::string TableReader::text(const char* key) {
+  if (!find(key)) bad(key, "missing");
+  return text(key, "");
+}
+
+Micros TableReader::duration(const char* key, Micros absent) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  if (node->is_number()) bad(key, "a duration needs its unit, as in \"5s\" or \"150ms\"");
+  auto value = node->value_exact<std::string>();
+  auto span = value ? kit::parse_duration(*value) : std::nullopt;
+  if (!span) bad(key, "no duration; write it as \"5s\", \"150ms\", \"20us\" or \"2min\"");
+  return *span;
+}
+
+Micros TableReader::duration(const char* key) {
+  if (!find(key)) bad(key, "missing");
+  return duration(key, 0);
+}
+
+double TableReader::rate(const char* key, double absent) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  if (node->is_number()) bad(key, "a rate needs its unit, as in \"300/s\"");
+  auto value = node->value_exact<std::string>();
+  auto rate = value ? kit::parse_rate(*value) : std::nullopt;
+  if (!rate || !(*rate > 0) || *rate > 1e6) bad(key, "no rate above 0; write it as \"300/s\"");
+  return *rate;
+}
+
+std::uint64_t TableReader::size(const char* key, std::uint64_t absent) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  if (node->is_number()) bad(key, "a size needs its unit, as in \"64MiB\"");
+  auto value = node->value_exact<std::string>();
+  auto size = value ? kit::parse_size(*value) : std::nullopt;
+  if (!size) bad(key, "no size; write it as \"512B\", \"64KiB\" or \"64MiB\"");
+  return *size;
+}
+
+double TableReader::part(const char* key, double absent) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  std::optional<double> value = node->value<double>();
+  if (auto text = node->value_exact<std::string>()) value = kit::parse_percent(*text);
+  if (!value || !(*value >= 0 && *value <= 1)) bad(key, "no part from 0 to 1 (0.05 or \"5%\")");
+  return *value;
+}
+
+double TableReader::number(const char* key, double absent, double low, double high) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  auto value = node->value<double>();
+  if (!value || !node->is_number() || !(*value >= low && *value <= high)) {
+    char range[80];
+    std::snprintf(range, sizeof range, "no number from %g to %g", low, high);
+    bad(key, range);
+  }
+  return *value;
+}
+
+std::int64_t TableReader::integer(const char* key, std::int64_t absent, std::int64_t low,
+                                  std::int64_t high) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  auto value = node->value_exact<std::int64_t>();
+  if (!value || *value < low || *value > high)
+    bad(key, "no whole number from " + std::to_string(low) + " to " + std::to_string(high));
+  return *value;
+}
+
+bool TableReader::flag(const char* key, bool absent) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  if (auto value = node->value_exact<bool>()) return *value;
+  bad(key, "wants true or false");
+}
+
+std::vector<std::string> TableReader::texts(const char* key) {
+  const toml::node* node = find(key);
+  if (!node) return {};
+  if (auto value = node->value_exact<std::string>()) return {*value};
+  std::vector<std::string> values;
+  const toml::array* list = node->as_array();
+  if (!list || list->empty()) bad(key, "wants a text or a list of texts");
+  for (const toml::node& item : *list) {
+    auto value = item.value_exact<std::string>();
+    if (!value) bad(key, "wants a text or a list of texts");
+    values.push_back(*value);
+  }
+  return values;
+}
+
+std::vector<double> TableReader::numbers(const char* key) {
+  const toml::node* node = find(key);
+  if (!node) return {};
+  std::vector<double> values;
+  const toml::array* list = node->as_array();
+  if (!list) bad(key, "wants a list of numbers");
+  for (const toml::node& item : *list) {
+    auto value = item.value<double>();
+    if (!value || !item.is_number()) bad(key, "wants a list of numbers");
+    values.push_back(*value);
+  }
+  return values;
+}
+
+std::vector<TableReader> TableReader::tables(const char* key) {
+  const toml::node* node = find(key);
+  std::vector<TableReader> readers;
+  if (!node) return readers;
+  std::string name = path_.empty() ? key : path_ + "." + key;
+  const toml::array* list = node->as_array();
+  if (!list) bad(key, "wants tables, each under [[" + name + "]]");
+  for (std::size_t k = 0; k < list->size(); ++k) {
+    const toml::table* table = list->get(k)->as_table();
+    if (!table) bad(key, "wants tables, each under [[" + name + "]]");
+    readers.emplace_back(*table, file_, name + "[" + std::to_string(k + 1) + "]");
+  }
+  return readers;
+}
+
+TableReader TableReader::below(const char* key) {
+  static const toml::table kNone;
+  const toml::node* node = find(key);
+  std::string name = path_.empty() ? key : path_ + "." + key;
+  if (!node) return TableReader(kNone, file_, name);
+  const toml::table* table = node->as_table();
+  if (!table) bad(key, "wants a table, under [" + name + "]");
+  return TableReader(*table, file_, name);
+}
+
+void TableReader::finish() const {
+  for (const auto& [key, node] : table_) {
+    std::string name(key.str());
+    if (asked_.count(name)) continue;
+    std::string known;
+    for (const std::string& k : asked_) known += (known.empty() ? "" : ", ") + k;
+    complain(file_, key.source(),
+             (path_.empty() ? "" : path_ + ": ") + "unknown key '" + name + "' (known: " + known + ")");
+  }
+}
+
+}  // namespace violetusher::rehearse
--- /dev/null
+++ b/src/kit/standin/discovery.cpp
@@ -0,0 +1,216 @@
+#include "discovery.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace violetusher::standin {
+namespace {
+
+constexpr std::size_t kMostCalls = 1024;       // waiting for their turn
+constexpr Micros kLongestWatch = 60'000'000;   // as PROTOCOL has it
+
+const char* word_of(Health health) {
+  switch (health) {
+    case Health::Ready: return "active";
+    case Health::Draining: return "leaving";
+    case Health::Gone: return "left";
+  }
+  return "left";
+}
+
+}  // namespace
+
+DiscoveryStandin::DiscoveryStandin(kit::Loop& loop, const FleetSpec& spec, int routers,
+                                   kit::History& history)
+    : loop_(loop), spec_(spec), history_(history) {
+  for (int router = 0; router < routers; ++router) {
+    auto door = std::make_unique<Door>();
+    door->owner = this;
+    door->router = router;
+    door->http = evhttp_new(loop.base());
+    auto* socket = evhttp_bind_socket_with_handle(door->http, "127.0.0.1", 0);
+    if (!socket) throw std::runtime_error("discovery: no listening socket");
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr*>(&address), &size);
+    door->port = ntohs(address.sin_port);
+    evhttp_set_gencb(door->http, on_call, door.get());
+    doors_.push_back(std::move(door));
+  }
+}
+
+DiscoveryStandin::~DiscoveryStandin() {
+  for (auto& door : doors_) evhttp_free(door->http);
+}
+
+std::string DiscoveryStandin::address(int router) const {
+  return "127.0.0.1:" + std::to_string(doors_[static_cast<std::size_t>(router)]->port);
+}
+
+void DiscoveryStandin::publish(const Entry& entry) {
+  ++version_;
+  auto it = std::find_if(held_.begin(), held_.end(),
+                         [&](const Held& h) { return h.entry.id == entry.id; });
+  if (it == held_.end())
+    held_.push_back({entry, version_});
+  else
+    *it = {entry, version_};
+  look_at_watches();
+}
+
+void DiscoveryStandin::set_down(bool down) {
+  down_ = down;
+  if (!down) return;
+  for (const Call& call : queue_) fail(call);
+  queue_.clear();
+  for (const Call& call : watches_) fail(call);
+  watches_.clear();
+}
+
+std::string DiscoveryStandin::entry_json(const Held& held, int router) const {
+  const Entry& e = held.entry;
+  return nlohmann::json{{"host", e.id},
+                        {"dial", e.dials[static_cast<std::size_t>(router)]},
+                        {"site", e.hall},
+                        {"class", e.kind},
+                        {"block", e.block},
+                        {"health", word_of(e.health)},
+                        {"share", 1.0},
+                        {"born_ms", e.born / 1000}}
+      .dump();
+}
+
+std::string DiscoveryStandin::whole(int router) const {
+  std::string text = R"({"seq":)" + std::to_string(version_) + R"(,"whole":true,"hosts":[)";
+  bool first = true;
+  for (const Held& held : held_) {
+    if (held.entry.health == Health::Gone) continue;
+    text += (first ? "" : ",") + entry_json(held, router);
+    first = false;
+  }
+  return text + "]}";
+}
+
+void DiscoveryStandin::on_call(evhttp_request* request, void* at) {
+  auto* door = static_cast<Door*>(at);
+  DiscoveryStandin* self = door->owner;
+  ++self->calls_;
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
+  const char* path = evhttp_uri_get_path(uri);
+  if (!path || std::strcmp(path, "/discovery/hosts") != 0) {
+    self->reply(request, 404, "");
+    return;
+  }
+  Call call;
+  call.request = request;
+  call.router = door->router;
+  call.came = self->loop_.now();
+  evkeyvalq pairs;
+  const char* query = evhttp_uri_get_query(uri);
+  if (query && evhttp_parse_query_str(query, &pairs) == 0) {
+    auto number = [&](const char* name) -> std::int64_t {
+      const char* text = evhttp_find_header(&pairs, name);
+      std::int64_t value = -1;
+      if (text) std::from_chars(text, text + std::strlen(text), value);
+      return value;
+    };
+    std::int64_t index = number("index"), wait = number("wait");
+    evhttp_clear_headers(&pairs);
+    if (index >= 0 && wait >= 0) {
+      call.watch = true;
+      call.index = static_cast<std::uint64_t>(index);
+      call.until = call.came + std::min<Micros>(wait * 1000, kLongestWatch);
+    }
+  }
+  // One that waits is dropped when its caller goes; evhttp frees the request then.
+  evhttp_connection_set_closecb(evhttp_request_get_connection(request), on_closed, self);
+  if (self->down_ || self->queue_.size() >= kMostCalls) {
+    self->fail(call);
+    return;
+  }
+  self->queue_.push_back(call);
+  self->serve();
+}
+
+void DiscoveryStandin::on_closed(evhttp_connection* connection, void* at) {
+  auto* self = static_cast<DiscoveryStandin*>(at);
+  auto gone = [&](const Call& c) { return evhttp_request_get_connection(c.request) == connection; };
+  std::erase_if(self->queue_, gone);
+  std::erase_if(self->watches_, gone);
+}
+
+/// Works through the calls in turn, one in each 1 / calls_per_s.
+void DiscoveryStandin::serve() {
+  if (serving_ || queue_.empty()) return;
+  serving_ = true;
+  auto takes = static_cast<Micros>(1e6 / std::max(spec_.calls_per_s, 1e-3));
+  loop_.at(loop_.now() + takes, [this] {
+    serving_ = false;
+    if (!queue_.empty()) {
+      Call call = queue_.front();
+      queue_.pop_front();
+      if (loop_.now() - call.came > spec_.call_limit) {
+        fail(call);
+      } else if (call.watch && call.index >= version_) {
+        watches_.push_back(call);
+        loop_.at(call.until, [this] { look_at_watches(); });
+      } else {
+        answer(call);
+      }
+    }
+    serve();
+  });
+}
+
+void DiscoveryStandin::look_at_watches() {
+  Micros now = loop_.now();
+  std::list<Call> due;
+  for (auto it = watches_.begin(); it != watches_.end();) {
+    auto next = std::next(it);
+    if (it->until <= now || it->index < version_) due.splice(due.end(), watches_, it);
+    it = next;
+  }
+  for (const Call& call : due) answer(call);
+}
+
+void DiscoveryStandin::answer(const Call& call) {
+  // A watch from a version of another life of ours gets the whole list.
+  if (!call.watch || call.index > version_) {
+    std::string body = whole(call.router);
+    for (const Held& held : held_)
+      history_.told.push_back({call.router, held.entry.server, held.entry.health, loop_.now()});
+    reply(call.request, 200, body);
+    return;
+  }
+  std::string text = R"({"seq":)" + std::to_string(version_) + R"(,"whole":false,"hosts":[)";
+  bool first = true;
+  for (const Held& held : held_) {
+    if (held.version <= call.index) continue;
+    text += (first ? "" : ",") + entry_json(held, call.router);
+    first = false;
+    history_.told.push_back({call.router, held.entry.server, held.entry.health, loop_.now()});
+  }
+  reply(call.request, 200, text + "]}");
+}
+
+void DiscoveryStandin::fail(const Call& call) { reply(call.request, 503, ""); }
+
+void DiscoveryStandin::reply(evhttp_request* request, int code, const std::string& body) {
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  if (connection) evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  evbuffer* out = evbuffer_new();
+  evbuffer_add(out, body.data(), body.size());
+  evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type", "application/json");
+  evhttp_send_reply(request, code, code == 200 ? "OK" : "Not served", out);
+  evbuffer_free(out);
+}
+
+}  // namespace violetusher::standin
--- /dev/null
+++ b/src/kit/standin/price_cache.cpp
@@ -0,0 +1,612 @@
+#include "price_cache.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstring>
+#include <stdexcept>
+
+namespace violetusher::standin {
+namespace {
+
+using kit::Answered;
+
+constexpr int kBacklog = 512;
+constexpr std::size_t kReadAtOnce = 16u << 10;
+constexpr std::size_t kMostOut = 4u << 20;     // bytes that a reader who does not read may leave
+constexpr std::size_t kMostWaiting = 4096;     // commands of one connection that are not answered
+constexpr double kWorkSigma = 0.35;            // spread of the work of requests of one class
+constexpr Micros kWorkUnhinted = 30'000;       // of a request that brings no guess
+
+void require(bool good, const char* what) {
+  if (!good) throw std::runtime_error(std::string(what) + ": " + std::strerror(errno));
+}
+
+/// The value of `name=` among the pairs of a command's `P`.
+std::string pair_of(const protocol::Command& command, std::string_view name) {
+  std::string line = command.before_d + "0" + command.after_d;
+  std::string wanted = std::string(name) + "=";
+  std::size_t at = line.find(" P");
+  if (at == line.npos) return {};
+  std::size_t end = line.find(' ', at + 1);
+  std::string_view pairs = std::string_view(line).substr(at + 2, end == line.npos ? end : end - at - 2);
+  while (!pairs.empty()) {
+    std::string_view pair = pairs.substr(0, pairs.find(','));
+    pairs.remove_prefix(std::min(pairs.size(), pair.size() + 1));
+    if (pair.substr(0, wanted.size()) == wanted) return std::string(pair.substr(wanted.size()));
+  }
+  return {};
+}
+
+}  // namespace
+
+// ---- addresses ----
+
+Address::Address() : holder_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  require(static_cast<bool>(holder_), "socket");
+  int yes = 1;
+  ::setsockopt(holder_.get(), SOL_SOCKET, SO_REUSEPORT, &yes, sizeof yes);
+  ::setsockopt(holder_.get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  address_.sin_family = AF_INET;
+  address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  require(::bind(holder_.get(), reinterpret_cast<sockaddr*>(&address_), sizeof address_) == 0, "bind");
+  socklen_t size = sizeof address_;
+  ::getsockname(holder_.get(), reinterpret_cast<sockaddr*>(&address_), &size);
+}
+
+std::string Address::text() const { return "127.0.0.1:" + std::to_string(ntohs(address_.sin_port)); }
+
+net::Fd Address::listen(int backlog) const {
+  net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  require(static_cast<bool>(fd), "socket");
+  int yes = 1;
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &yes, sizeof yes);
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  require(::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_) == 0, "bind");
+  require(::listen(fd.get(), backlog) == 0, "listen");
+  return fd;
+}
+
+std::vector<net::Fd> Address::plug(int listener) const {
+  // A backlog of 0 holds one connection; once it is full the kernel drops what else knocks.
+  ::listen(listener, 0);
+  std::vector<net::Fd> plugs;
+  for (int k = 0; k < 2; ++k) {
+    net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    if (!fd) break;
+    ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_);
+    plugs.push_back(std::move(fd));
+  }
+  return plugs;
+}
+
+// ---- connections ----
+
+class Connection {
+ public:
+  Connection(PriceCache& owner, net::Fd fd, int router, bool turned_away)
+      : owner_(owner), fd_(std::move(fd)), router_(router), turned_away_(turned_away) {
+    event_base* base = owner_.shared_.loop.base();
+    read_.reset(event_new(base, fd_.get(), EV_READ | EV_PERSIST, on_read, this));
+    write_.reset(event_new(base, fd_.get(), EV_WRITE, on_write, this));
+    event_add(read_.get(), nullptr);
+    used_ = owner_.shared_.loop.now();
+  }
+
+  int router() const { return router_; }
+  PriceCache& owner() const { return owner_; }
+  bool idle_since(Micros at) const { return waiting_.empty() && used_ < at && !reader_.in_command(); }
+  std::deque<std::unique_ptr<Exchange>>& waiting() { return waiting_; }
+  void set_silent(bool silent) {
+    silent_ = silent;
+    if (silent) {
+      event_del(read_.get());
+      event_del(write_.get());
+    } else {
+      event_add(read_.get(), nullptr);
+      flush();
+    }
+  }
+  bool turned_away() const { return turned_away_; }
+
+  /// Ends the connection at once; with `reset` the peer sees a reset.
+  void shut(bool reset) {
+    read_.reset();
+    write_.reset();
+    if (reset) {
+      linger hard{1, 0};
+      ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    }
+    fd_.reset();
+    for (auto& exchange : waiting_) {
+      owner_.shared_.exchanges.erase(exchange->token);
+      owner_.shared_.at_origin.erase(exchange->token);
+    }
+  }
+
+  /// Begins commands up to the streams of a connection.
+  void begin_some() {
+    int out = 0;
+    for (auto& exchange : waiting_) {
+      if (!fd_) return;  // the price cache fell over with the command before
+      if (out == owner_.shared_.spec.streams) return;
+      if (exchange->begun == 0) {
+        exchange->begun = owner_.shared_.loop.now();
+        owner_.arrive(*exchange);
+      }
+      ++out;
+    }
+  }
+
+  /// Moves whole answers to the socket, in order. False where the connection is gone with it.
+  bool flush() {
+    if (!fd_) return false;
+    if (silent_) return true;
+    while (!waiting_.empty() && waiting_.front()->done) {
+      out_ += waiting_.front()->text;
+      owner_.shared_.exchanges.erase(waiting_.front()->token);
+      waiting_.pop_front();
+    }
+    used_ = owner_.shared_.loop.now();
+    while (!out_.empty()) {
+      ssize_t put = ::send(fd_.get(), out_.data(), out_.size(), MSG_NOSIGNAL);
+      if (put <= 0) {
+        if (put < 0 && (errno == EAGAIN || errno == EINTR) && out_.size() < kMostOut) {
+          event_add(write_.get(), nullptr);
+          return true;
+        }
+        owner_.close(*this, false);
+        return false;
+      }
+      out_.erase(0, static_cast<std::size_t>(put));
+    }
+    if (close_after_ && waiting_.empty()) {
+      owner_.close(*this, false);
+      return false;
+    }
+    begin_some();
+    return true;
+  }
+  void close_after_answers() { close_after_ = true; }
+
+ private:
+  static void on_write(evutil_socket_t, short, void* self) { static_cast<Connection*>(self)->flush(); }
+
+  static void on_read(evutil_socket_t, short, void* self) {
+    auto* c = static_cast<Connection*>(self);
+    char bytes[kReadAtOnce];
+    ssize_t got = ::recv(c->fd_.get(), bytes, sizeof bytes, 0);
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
+    if (got <= 0) return c->peer_left();
+    c->take({bytes, static_cast<std::size_t>(got)});
+  }
+
+  void peer_left() {
+    Micros now = owner_.shared_.loop.now();
+    for (auto& exchange : waiting_) {
+      auto& record = owner_.record(*exchange);
+      if (record.ended == 0) record.ended = now, record.left = true;
+      if (owner_.shared_.spec.drop_gone_work) owner_.station_.drop(exchange->token);
+    }
+    owner_.close(*this, false);
+  }
+
+  void take(std::string_view in) {
+    Shared& shared = owner_.shared_;
+    Micros now = shared.loop.now();
+    used_ = now;
+    while (!in.empty()) {
+      if (!reader_.in_command()) first_byte_ = now;
+      protocol::Command command;
+      auto got = reader_.take(in, command);
+      if (got == protocol::CommandReader::Got::Nothing) break;
+      auto exchange = std::make_unique<Exchange>();
+      exchange->token = shared.next_token++;
+      exchange->connection = this;
+      if (got == protocol::CommandReader::Got::Command) {
+        exchange->command = std::move(command);
+        exchange->handshake = first_;
+        first_ = false;
+        exchange->idempotency = pair_of(exchange->command, "k");
+        exchange->arrived = now;
+        kit::AttemptRecord record;
+        RequestName name;
+        bool ours = read_request_id(exchange->command.id, name);
+        record.request = ours ? name.request : kit::kNoRequest;
+        record.attempt_try = name.number;
+        record.server = owner_.server_;
+        record.router = router_;
+        record.first_byte = first_byte_;
+        record.begun = now;
+        exchange->attempt = shared.history.attempts.size();
+        shared.history.attempts.push_back(record);
+        shared.exchanges[exchange->token] = exchange.get();
+      } else {
+        exchange->begun = now;
+        exchange->done = true;
+        bool bad = got == protocol::CommandReader::Got::Bad;
+        exchange->text = got == protocol::CommandReader::Got::Noop ? "MN\r\n"
+                         : bad ? "CLIENT_ERROR bad command\r\n"
+                               : "ERROR\r\n";
+        if (bad) close_after_ = true;
+      }
+      waiting_.push_back(std::move(exchange));
+      if (close_after_ || waiting_.size() > kMostWaiting) {
+        close_after_ = true;
+        event_del(read_.get());
+        break;
+      }
+    }
+    flush();
+  }
+
+  PriceCache& owner_;
+  net::Fd fd_;
+  int router_;
+  net::EventPtr read_, write_;
+  protocol::CommandReader reader_;
+  std::deque<std::unique_ptr<Exchange>> waiting_;
+  std::string out_;
+  Micros first_byte_ = 0, used_ = 0;
+  bool first_ = true, silent_ = false, close_after_ = false, turned_away_;
+};
+
+PriceCache& Shared::owner_of(const Exchange& exchange) const {
+  return exchange.connection->owner();
+}
+
+// ---- the price cache ----
+
+PriceCache::PriceCache(Shared& shared, int server, int addresses)
+    : shared_(shared),
+      server_(server),
+      spec_index_(server),
+      kind_(shared.spec.kinds[static_cast<std::size_t>(
+          shared.spec.servers[static_cast<std::size_t>(server)].kind)]),
+      addresses_(static_cast<std::size_t>(addresses)),
+      station_(kind_.cores, kind_.waiting),
+      store_(0, 0, shared.draws, 0),
+      tipping_(shared.spec.fall_multiple, shared.spec.fall_after) {
+  for (int router = 0; router < addresses; ++router) {
+    listeners_.push_back(std::make_unique<Listener>());
+    listeners_.back()->owner = this;
+    listeners_.back()->router = router;
+  }
+}
+
+PriceCache::~PriceCache() { die(); }
+
+void PriceCache::start(Micros born) {
+  born_ = born;
+  running_ = true;
+  draining_ = fallen_ = false;
+  station_ = Station(kind_.cores, kind_.waiting);
+  store_ = Store(kind_.memory, born == 0 ? shared_.spec.held : 0, shared_.draws,
+                 static_cast<std::uint64_t>(server_));
+  tipping_ = TippingPoint(shared_.spec.fall_multiple, shared_.spec.fall_after);
+  reports_.clear();
+  spent_before_ = spent_sampled_ = 0;
+  sampled_at_ = shared_.loop.now();
+  hit_share_ = born == 0 ? shared_.spec.held : 0;
+  service_ms_ = 30;
+  for (auto& listener : listeners_) open_listener(*listener);
+  refresh();
+}
+
+void PriceCache::open_listener(Listener& listener) {
+  listener.fd = addresses_[static_cast<std::size_t>(listener.router)].listen(kBacklog);
+  listener.event.reset(event_new(shared_.loop.base(), listener.fd.get(), EV_READ | EV_PERSIST,
+                                 on_accept, &listener));
+  event_add(listener.event.get(), nullptr);
+}
+
+void PriceCache::die() {
+  running_ = false;
+  for (auto& listener : listeners_) {
+    listener->event.reset();
+    listener->plugs.clear();
+    listener->fd.reset();
+    listener->silent = false;
+  }
+  while (!connections_.empty()) close(*connections_.front(), true);
+  station_.clear();
+  fetching_.clear();
+}
+
+bool PriceCache::silent_now(int router) const {
+  return fault(FaultKind::kVanishes) || shared_.cut(router, spec().hall);
+}
+
+void PriceCache::refresh() {
+  const Fault* slow = fault(FaultKind::kSlow);
+  station_.set_pace(kind_.speed * (fallen_ ? 1e-3 : 1) / (slow ? slow->factor : 1) *
+                    (born_ ? warmth(shared_.spec, shared_.loop.now() - born_) : 1));
+  if (!running_) return;
+  for (auto& listener : listeners_) {
+    bool silent = silent_now(listener->router);
+    if (silent != listener->silent) set_silent(*listener, silent);
+  }
+}
+
+void PriceCache::set_silent(Listener& listener, bool silent) {
+  listener.silent = silent;
+  if (silent) {
+    event_del(listener.event.get());
+    listener.plugs = addresses_[static_cast<std::size_t>(listener.router)].plug(listener.fd.get());
+  } else {
+    listener.plugs.clear();
+    ::listen(listener.fd.get(), kBacklog);
+    event_add(listener.event.get(), nullptr);
+  }
+  std::vector<Connection*> mine;
+  for (auto& connection : connections_)
+    if (connection->router() == listener.router) mine.push_back(connection.get());
+  for (Connection* connection : mine) connection->set_silent(silent);
+}
+
+void PriceCache::on_accept(evutil_socket_t fd, short, void* at) {
+  auto* listener = static_cast<Listener*>(at);
+  PriceCache* self = listener->owner;
+  while (true) {
+    net::Fd peer(::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
+    if (!peer) return;
+    bool full = static_cast<int>(self->connections_.size()) >= self->kind_.connections;
+    // Beyond the limit some are kept to be told so; far beyond, the door is shut.
+    if (static_cast<int>(self->connections_.size()) >= 2 * self->kind_.connections) continue;
+    if (!full) {
+      const Fault* dear = self->fault(FaultKind::kConnectCost);
+      auto work = static_cast<double>(self->kind_.connect_work) * (dear ? dear->factor : 1);
+      self->station_.impose(self->shared_.loop.now(), static_cast<Micros>(work));
+      self->pump();
+    }
+    self->connections_.push_back(
+        std::make_unique<Connection>(*self, std::move(peer), listener->router, full));
+  }
+}
+
+void PriceCache::close(Connection& connection, bool reset) {
+  auto it = std::find_if(connections_.begin(), connections_.end(),
+                         [&](auto& c) { return c.get() == &connection; });
+  if (it == connections_.end()) return;
+  connection.shut(reset);
+  // Its own call may be under way: it is freed once the loop is back.
+  closed_.push_back(std::move(*it));
+  connections_.erase(it);
+  if (closed_.size() == 1) shared_.loop.at(shared_.loop.now(), [this] { closed_.clear(); });
+}
+
+const Fault* PriceCache::fault(FaultKind kind) const {
+  for (const Fault& f : shared_.faults)
+    if (f.kind == kind && shared_.on(f) &&
+        std::find(f.servers.begin(), f.servers.end(), spec_index_) != f.servers.end())
+      return &f;
+  return nullptr;
+}
+
+bool PriceCache::strikes(FaultKind kind, const Exchange& exchange) const {
+  const Fault* f = fault(kind);
+  if (!f) return false;
+  // On the request and the server alone: the order in which things come has no say.
+  return shared_.draws.uniform(kit::Stream::kFault, kit::hash_of(exchange.command.id),
+                               (static_cast<std::uint64_t>(kind) << 32) +
+                                   static_cast<std::uint64_t>(spec_index_)) < f->rate;
+}
+
+double PriceCache::capacity() const {
+  return kind_.cores * kind_.speed *
+         (born_ ? warmth(shared_.spec, shared_.loop.now() - born_) : 1);
+}
+
+Micros PriceCache::work_of(const Exchange& exchange) const {
+  RequestName name;
+  std::uint64_t index = read_request_id(exchange.command.id, name)
+                            ? name.request
+                            : kit::hash_of(exchange.command.id);
+  double mean = static_cast<double>(exchange.command.work.value_or(kWorkUnhinted));
+  return static_cast<Micros>(mean * shared_.draws.lognormal(kWorkSigma, kit::Stream::kWork, index));
+}
+
+void PriceCache::arrive(Exchange& exchange) {
+  Micros crossing = shared_.crossing(exchange.connection->router(), spec().hall) +
+                    (exchange.handshake ? shared_.spec.handshake : 0);
+  std::uint64_t token = exchange.token;
+  if (crossing <= 0) return begin(exchange);
+  shared_.loop.at(shared_.loop.now() + crossing, [this, token] {
+    auto it = shared_.exchanges.find(token);
+    if (it != shared_.exchanges.end()) begin(*it->second);
+  });
+}
+
+void PriceCache::begin(Exchange& exchange) {
+  Micros now = shared_.loop.now();
+  if (fault(FaultKind::kMute)) return;
+  if (exchange.connection->turned_away()) {
+    exchange.connection->close_after_answers();
+    return finish(exchange, Answered::kBusy, "SERVER_ERROR busy");
+  }
+  if (draining_ || strikes(FaultKind::kBusy, exchange))
+    return finish(exchange, Answered::kBusy, "SERVER_ERROR busy");
+  refresh();
+  Micros work = work_of(exchange);
+  if (born_ && now - born_ < shared_.spec.warm_up && !fallen_ &&
+      tipping_.sent(now, work, capacity()))
+    return fall();
+  if (!station_.offer(now, exchange.token, work))
+    return finish(exchange, Answered::kBusy, "SERVER_ERROR busy");
+  pump();
+}
+
+void PriceCache::fall() {
+  fallen_ = true;
+  shared_.history.fallen.emplace_back(server_, shared_.loop.now());
+  die();
+}
+
+void PriceCache::pump() {
+  auto next = station_.next();
+  Micros now = shared_.loop.now();
+  if (!next || (due_ > now && due_ <= *next)) return;
+  due_ = *next;
+  shared_.loop.at(*next, [this] {
+    due_ = 0;
+    for (std::uint64_t token : station_.take_done(shared_.loop.now())) {
+      auto it = shared_.exchanges.find(token);
+      if (it != shared_.exchanges.end()) worked(*it->second);
+    }
+    pump();
+  });
+}
+
+void PriceCache::worked(Exchange& exchange) {
+  Micros now = shared_.loop.now();
+  auto& record = this->record(exchange);
+  const std::string& key = exchange.command.key;
+  double took = static_cast<double>(now - exchange.arrived) / 1000;
+  service_ms_ += 0.1 * (took - service_ms_);
+  if (exchange.command.set) {
+    std::string receipt = "r" + std::to_string(kit::hash_of(exchange.idempotency) & 0xffffffffff);
+    bool room = shared_.origin.working() < shared_.origin.cores() ||
+                shared_.origin.waiting() < shared_.spec.origin.waiting;
+    if (!exchange.idempotency.empty()) {
+      // Not remembered unless it runs: the product master has room for it or it fails untouched.
+      auto first = room ? shared_.repeats.seen(now, exchange.idempotency, receipt) : std::nullopt;
+      if (first) {
+        record.repeat = true;
+        record.value = kit::hash_of(*first);
+        return finish(exchange, Answered::kServed, "HD O" + exchange.command.id + " c" + *first);
+      }
+    }
+    if (!room) return finish(exchange, Answered::kError, "SERVER_ERROR failed");
+    shared_.history.effects.push_back({record.request, now, server_});
+    for (auto& cache : shared_.caches)
+      if (cache.get() != this) cache->store_.drop(key);
+    record.value = kit::hash_of(receipt);
+    exchange.text = "HD O" + exchange.command.id + " c" + receipt;
+  } else {
+    std::uint64_t size = static_cast<std::uint64_t>(shared_.spec.value_low) +
+                         kit::hash_of(key) % static_cast<std::uint64_t>(shared_.spec.value_high -
+                                                                        shared_.spec.value_low + 1);
+    exchange.hit = store_.find(key, size);
+    hit_share_ += 0.02 * ((exchange.hit ? 1 : 0) - hit_share_);
+    if (exchange.hit) return finish(exchange, Answered::kServed, served_text(exchange));
+    exchange.other_fetch = fetching_[key]++ > 0;
+  }
+  // On to the product master, outside of the cores.
+  if (!shared_.origin.offer(now, exchange.token, shared_.spec.origin.time)) {
+    if (!exchange.command.set && --fetching_[key] == 0) fetching_.erase(key);
+    return finish(exchange, Answered::kError, "SERVER_ERROR failed");
+  }
+  shared_.at_origin[exchange.token] = &exchange;
+  shared_.pump_origin();
+}
+
+void PriceCache::origin_done(Exchange& exchange) {
+  const std::string& key = exchange.command.key;
+  if (exchange.command.set)
+    return finish(exchange, Answered::kServed, std::move(exchange.text));
+  if (auto it = fetching_.find(key); it != fetching_.end() && --it->second == 0) fetching_.erase(it);
+  std::string text = served_text(exchange);
+  store_.keep(key, text.size());
+  finish(exchange, Answered::kServed, std::move(text));
+}
+
+/// The value names the request it was made for, so that no other answer can be taken for it.
+std::string PriceCache::served_text(Exchange& exchange) {
+  const auto& command = exchange.command;
+  std::string value = command.key + "|" + command.id + "|" + id() + "|" +
+                      std::to_string(exchange.token) + "|";
+  std::size_t size = static_cast<std::size_t>(shared_.spec.value_low) +
+                     kit::hash_of(command.key) %
+                         static_cast<std::size_t>(shared_.spec.value_high - shared_.spec.value_low + 1);
+  if (value.size() < size) value.resize(size, '.');
+  record(exchange).value = kit::hash_of(value);
+  return "VA " + std::to_string(value.size()) + " O" + command.id +
+         (exchange.hit ? " h1" : exchange.other_fetch ? " h0 Z" : " h0") + report() + "\r\n" + value;
+}
+
+std::string PriceCache::report() const {
+  if (reports_.empty()) return {};
+  const Load& load = reports_.front();
+  char text[96];
+  std::snprintf(text, sizeof text, " Lload_share=%.3f,mean_ms=%.2f,x0=%.3f", load.utilisation,
+                load.mean_ms, load.hits);
+  return text;
+}
+
+void PriceCache::finish(Exchange& exchange, Answered how, std::string text) {
+  const Fault* late = fault(FaultKind::kLate);
+  Micros now = shared_.loop.now(), at = now;
+  text += "\r\n";
+  bool ran = how == Answered::kServed;
+  bool close = false;
+  const std::string& id = exchange.command.id;
+  if (ran && strikes(FaultKind::kErrors, exchange)) {
+    how = Answered::kError;
+    text = "SERVER_ERROR failed\r\n";
+  } else if (ran && strikes(FaultKind::kResets, exchange)) {
+    how = Answered::kReset;
+    close = true;
+  } else if (ran && strikes(FaultKind::kNoise, exchange)) {
+    how = Answered::kSpoilt;
+    text = std::string("\x01\xff\x7f\x00?!", 6) + id + "\r\n\r\n";
+  } else if (ran && strikes(FaultKind::kEndless, exchange)) {
+    how = Answered::kSpoilt;
+    text = "VA " + std::string(8192, '9');
+  } else if (ran && strikes(FaultKind::kLength, exchange)) {
+    how = Answered::kSpoilt;
+    text = "VA 7 O" + id + " h1\r\nnot seven bytes\r\n";
+  } else if (ran && strikes(FaultKind::kOtherId, exchange)) {
+    how = Answered::kSpoilt;
+    text = "VA 5 Oq18446744073709551-9 h1\r\nother\r\n";
+  } else if (ran && strikes(FaultKind::kSecondCopy, exchange)) {
+    text += text;  // the first is good, and the request is served
+  }
+  if (late && strikes(FaultKind::kLate, exchange))
+    at = std::max(now, exchange.arrived + static_cast<Micros>(exchange.command.wait_ms * 1000) +
+                           late->delay);
+  at += shared_.crossing(exchange.connection->router(), spec().hall);
+  std::uint64_t token = exchange.token;
+  // Never at once: the connection may be in the middle of beginning its commands.
+  shared_.loop.at(at, [this, token, how, text = std::move(text), close]() mutable {
+    deliver(token, how, std::move(text), close);
+  });
+}
+
+void PriceCache::deliver(std::uint64_t token, Answered how, std::string text, bool spoilt_close) {
+  auto it = shared_.exchanges.find(token);
+  if (it == shared_.exchanges.end()) return;  // its connection has gone
+  Exchange& exchange = *it->second;
+  auto& record = this->record(exchange);
+  record.answered = how;
+  record.ended = shared_.loop.now();
+  Connection& connection = *exchange.connection;
+  if (spoilt_close) return close(connection, true);
+  exchange.text = std::move(text);
+  exchange.done = true;
+  connection.flush();
+}
+
+void PriceCache::sample() {
+  if (!running_) return;
+  Micros now = shared_.loop.now();
+  refresh();
+  double spent = station_.spent(now);
+  double span = static_cast<double>(std::max<Micros>(now - sampled_at_, 1));
+  double utilisation = std::min(1.0, (spent - spent_before_) / (span * kind_.cores));
+  spent_before_ = spent;
+  sampled_at_ = now;
+  reports_.push_back({now, utilisation, service_ms_, hit_share_});
+  const Fault* late = fault(FaultKind::kReportsLate);
+  Micros lag = shared_.spec.report_lag + (late ? late->delay : 0);
+  while (reports_.size() > 1 && reports_[1].at <= now - lag) reports_.pop_front();
+  shared_.history.server_samples.push_back({server_, now, utilisation, station_.waiting()});
+  // Idle connections go after the time that the settings tell.
+  std::vector<Connection*> idle;
+  for (auto& connection : connections_)
+    if (connection->idle_since(now - shared_.spec.idle_close)) idle.push_back(connection.get());
+  for (Connection* connection : idle) close(*connection, false);
+}
+
+}  // namespace violetusher::standin
--- /dev/null
+++ b/src/kit/standin/price_cache.hpp
@@ -0,0 +1,133 @@
+// One stand-in price cache on sockets: a listener for each router, connections with answers in
+// order, and what goes wrong on the wire.
+#pragma once
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet.hpp"
+#include "protocol/meta.hpp"
+
+namespace violetusher::standin {
+
+class Connection;
+
+/// One command on its way through a price cache.
+struct Exchange {
+  std::uint64_t token = 0;
+  Connection* connection = nullptr;
+  protocol::Command command;
+  std::string idempotency;
+  std::size_t attempt = 0;  ///< index into History::attempts
+  Micros arrived = 0, begun = 0;
+  bool handshake = false;  ///< the first of its connection
+  bool done = false;       ///< `text` is whole
+  bool hit = false, other_fetch = false;
+  std::string text;
+};
+
+/// A loopback address held for the whole day: a bound socket that never listens keeps the port,
+/// so that a listener can go (connections are refused) and come back.
+class Address {
+ public:
+  Address();
+  std::string text() const;
+  /// Opens the listener; it is closed with the object returned.
+  net::Fd listen(int backlog) const;
+  /// Fills the backlog of `listener`, so that new connections neither come up nor are refused.
+  /// The plugs are closed with the result.
+  std::vector<net::Fd> plug(int listener) const;
+
+ private:
+  net::Fd holder_;
+  sockaddr_in address_{};
+};
+
+class PriceCache {
+ public:
+  PriceCache(Shared& shared, int server, int addresses);
+  ~PriceCache();
+
+  const std::string& id() const { return shared_.history.servers[static_cast<std::size_t>(server_)]; }
+  int server() const { return server_; }
+  int spec_index() const { return spec_index_; }
+  const ServerSpec& spec() const { return shared_.spec.servers[static_cast<std::size_t>(spec_index_)]; }
+  std::string address(int router) const { return addresses_[static_cast<std::size_t>(router)].text(); }
+
+  /// Starts the process: listens, cold where `born` is not 0.
+  void start(Micros born);
+  /// The process dies: its connections are reset, new ones refused.
+  void die();
+  /// Takes a new id at the old address; call while it is dead.
+  void rename(int server) { server_ = server; }
+  void drain() { draining_ = true; }
+  /// Looks again at whether it is silent towards each router, and at its pace.
+  void refresh();
+  bool running() const { return running_; }
+  Micros born() const { return born_; }
+  std::size_t connections() const { return connections_.size(); }
+  void sample();
+  void origin_done(Exchange& exchange);
+
+ private:
+  friend class Connection;
+  struct Listener {
+    net::Fd fd;
+    net::EventPtr event;
+    std::vector<net::Fd> plugs;
+    bool silent = false;
+    PriceCache* owner = nullptr;
+    int router = 0;
+  };
+  static void on_accept(evutil_socket_t, short, void* listener);
+  void open_listener(Listener& listener);
+  void set_silent(Listener& listener, bool silent);
+  bool silent_now(int router) const;
+  const Fault* fault(FaultKind kind) const;
+  bool strikes(FaultKind kind, const Exchange& exchange) const;
+  double capacity() const;
+  std::string report() const;
+  void arrive(Exchange& exchange);
+  void begin(Exchange& exchange);
+  void worked(Exchange& exchange);
+  void finish(Exchange& exchange, kit::Answered how, std::string text);
+  void deliver(std::uint64_t token, kit::Answered how, std::string text, bool spoilt_close);
+  std::string served_text(Exchange& exchange);
+  Micros work_of(const Exchange& exchange) const;
+  void pump();
+  void fall();
+  void close(Connection& connection, bool reset);
+  kit::AttemptRecord& record(const Exchange& exchange) {
+    return shared_.history.attempts[exchange.attempt];
+  }
+
+  Shared& shared_;
+  int server_;      // index into History::servers, new with each id
+  int spec_index_;  // index into FleetSpec::servers
+  const MachineKind& kind_;
+  std::vector<Address> addresses_;
+  std::vector<std::unique_ptr<Listener>> listeners_;
+  std::list<std::unique_ptr<Connection>> connections_;
+  std::vector<std::unique_ptr<Connection>> closed_;
+  Station station_;
+  Store store_;
+  TippingPoint tipping_;
+  bool running_ = false, draining_ = false, fallen_ = false;
+  Micros born_ = 0, due_ = 0;
+  std::unordered_map<std::string, int> fetching_;
+  // The load report as it is told, and what the next one is made from.
+  struct Load {
+    Micros at = 0;
+    double utilisation = 0, mean_ms = 0, hits = 0;
+  };
+  std::deque<Load> reports_;
+  double spent_before_ = 0, spent_sampled_ = 0;
+  Micros sampled_at_ = 0;
+  double service_ms_ = 0, hit_share_ = 0.9;
+};
+
+}  // namespace violetusher::standin
