--- /dev/null
+++ b/src/core/config/check.hpp
@@ -0,0 +1,23 @@
+// What only the whole model shows: routes that nothing reaches, shares that don't add up, limits and
+// budgets without effect.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "model.hpp"
+
+namespace violetusher::core::config {
+
+/// Where a section stands, and its settings.
+struct Place {
+  Position at;
+  std::uint32_t length = 1;
+  std::map<std::string, Position> keys;
+};
+/// By "KIND NAME".
+using Places = std::map<std::string, Place>;
+
+void check_model(const Model& model, const Places& places, Diagnostics& diagnostics);
+
+}  // namespace violetusher::core::config
--- /dev/null
+++ b/src/core/config/compile.cpp
@@ -0,0 +1,373 @@
+// From trees to a model: includes, sections and keys by the schema, references. What needs the
+// whole model is in check.cpp.
+#include <algorithm>
+#include <set>
+
+#include "check.hpp"
+#include "model.hpp"
+#include "schema.hpp"
+
+namespace violetusher::core::config {
+namespace {
+
+constexpr std::size_t kDeepestInclude = 16;
+
+/// One section with its settings, typed.
+struct Record {
+  const Node* node = nullptr;
+  const SectionRule* rule = nullptr;
+  std::map<std::string, const Node*> settings;
+  std::vector<Record> below;
+};
+
+class Compiler {
+ public:
+  Compiler(Compiled& out, const Loader& load) : out_(out), load_(load) {}
+
+  void run(const std::string& name, const std::string& text) {
+    // Trees must not move while nodes of them are pointed at.
+    out_.trees.reserve(kMostFiles + 1);
+    read(name, text);
+    for (auto& [file, node] : order_) section(*node, nullptr, records_);
+    define();
+    resolve();
+    build();
+    if (out_.diagnostics.none()) check_model(out_.model, places_, out_.diagnostics);
+    out_.diagnostics.settle();
+  }
+
+ private:
+  void read(const std::string& name, const std::string& text) {
+    std::uint32_t file = out_.sources.add(name, text);
+    chain_.push_back(name);
+    out_.trees.push_back(parse(out_.sources, file, out_.diagnostics));
+    out_.diagnostics.enter(Diagnostic::Stage::kMeaning);
+    std::size_t tree = out_.trees.size() - 1;
+    bool first = true;
+    for (std::size_t k = 0; k < out_.trees[tree].nodes.size(); ++k) {
+      const Node& node = out_.trees[tree].nodes[k];
+      if (node.kind == Node::Kind::kVersion) {
+        double version = 0;
+        if (!first || file != 0)
+          out_.diagnostics.add(node.at, "'version' stands only at the top of the first file", "", node.length);
+        else if (!read_figure(Type::kInteger, node.value.text, version) || version != 1)
+          out_.diagnostics.add(node.value.at, "version " + node.value.text + " is not known", "this program reads version 1",
+                               node.value.length);
+      } else if (first && file == 0) {
+        out_.diagnostics.add(node.at, "the first line must be 'version 1;'", "so that a later language is told apart", node.length);
+      }
+      first = false;
+      if (node.kind == Node::Kind::kInclude)
+        include(node);
+      else if (node.kind == Node::Kind::kBlock)
+        order_.emplace_back(file, &node);
+      else if (node.kind == Node::Kind::kSetting)
+        out_.diagnostics.add(node.at, "'" + node.key + "' stands outside of a section", sections_hint(), node.length);
+    }
+    if (first && file == 0 && out_.diagnostics.none())
+      out_.diagnostics.add({file, 1, 1}, "the file is empty", "begin with 'version 1;'");
+    chain_.pop_back();
+  }
+
+  void include(const Node& node) {
+    auto complain = [&](const std::string& what, const std::string& hint) {
+      out_.diagnostics.add(node.value.at, what, hint, node.value.length);
+    };
+    Loaded loaded = load_(chain_.back(), node.value.text);
+    auto at = std::find(chain_.begin(), chain_.end(), loaded.name);
+    if (loaded.error.empty() && at != chain_.end()) {
+      std::string way;
+      for (; at != chain_.end(); ++at) way += *at + " -> ";
+      return complain("include loop: " + way + loaded.name, "a file can't include itself, also not by others");
+    }
+    if (!loaded.error.empty()) return complain("cannot include \"" + node.value.text + "\": " + loaded.error, "");
+    if (!included_.insert(loaded.name).second) return complain("\"" + node.value.text + "\" is included twice", "its names would stand twice");
+    if (chain_.size() >= kDeepestInclude) return complain("includes inside one another more than 16 deep", "");
+    if (out_.sources.count() >= kMostFiles) return complain("more than 256 files", "");
+    if (out_.sources.bytes() + loaded.text.size() > kMostBytes) return complain("more than 16 MiB in all files together", "");
+    read(loaded.name, loaded.text);
+  }
+
+  static std::string sections_hint() {
+    std::string text = "sections: ";
+    for (const SectionRule& rule : sections())
+      if (rule.below.empty()) text += (text.size() > 10 ? ", " : "") + std::string(rule.kind);
+    return text;
+  }
+
+  void section(const Node& node, const Record* parent, std::vector<Record>& to) {
+    std::string_view below = parent ? parent->rule->kind : std::string_view();
+    Record record;
+    record.node = &node;
+    record.rule = find_section(node.key, below);
+    if (!record.rule) {
+      std::vector<std::string_view> kinds;
+      for (const SectionRule& rule : sections())
+        if (rule.below == below) kinds.push_back(rule.kind);
+      auto near = nearest(node.key, kinds);
+      out_.diagnostics.add(node.at, "no section '" + node.key + "'" + (parent ? " inside '" + parent->node->key + "'" : ""),
+                           near.empty() ? sections_hint() : "did you mean '" + std::string(near) + "'?", node.length);
+      return;
+    }
+    if (record.rule->named && node.name.empty()) {
+      out_.diagnostics.add(node.at, "this " + node.key + " has no name", node.key + " NAME { ... }", node.length);
+      return;
+    }
+    if (!record.rule->named && !node.name.empty())
+      out_.diagnostics.add(node.name_at, "'" + node.key + "' takes no name", "", node.name_length);
+    for (const Node& inner : node.nodes) {
+      if (inner.kind == Node::Kind::kBlock)
+        section(inner, &record, record.below);
+      else
+        setting(inner, record);
+    }
+    for (const KeyRule& k : record.rule->keys)
+      if (k.required && !record.settings.count(std::string(k.key)) && !lost_.count({&node, std::string(k.key)}))
+        out_.diagnostics.add(node.name_at, node.key + " " + node.name + " lacks '" + std::string(k.key) + "'",
+                             std::string(k.key) + " = " + (k.refers.empty() ? std::string(example(k.type)) : "NAME") + ";", node.name_length);
+    to.push_back(std::move(record));
+  }
+
+  void setting(const Node& node, Record& record) {
+    const KeyRule* rule = nullptr;
+    for (const KeyRule& k : record.rule->keys)
+      if (record.rule->free_keys || k.key == node.key) rule = &k;
+    if (!rule) {
+      std::vector<std::string_view> keys;
+      std::string known;
+      for (const KeyRule& k : record.rule->keys) {
+        keys.push_back(k.key);
+        known += (known.empty() ? "" : ", ") + std::string(k.key);
+      }
+      auto near = nearest(node.key, keys);
+      // The key that was meant is not missing as well.
+      if (!near.empty()) lost_.insert({record.node, std::string(near)});
+      out_.diagnostics.add(node.at, "no key '" + node.key + "' in a " + record.node->key,
+                           near.empty() ? "keys: " + known : "did you mean '" + std::string(near) + "'?", node.length);
+      return;
+    }
+    auto [at, fresh] = record.settings.emplace(node.key, &node);
+    if (!fresh) {
+      out_.diagnostics.add(node.at, "'" + node.key + "' is set twice in this " + record.node->key,
+                           "first in line " + std::to_string(at->second->at.line), node.length);
+      return;
+    }
+    bool good = true;
+    if (node.value.kind == Value::Kind::kList) {
+      if (!rule->list) {
+        out_.diagnostics.add(node.value.at, "'" + node.key + "' takes one value, no list", node.key + " = " + std::string(example(rule->type)) + ";",
+                             node.value.length);
+        good = false;
+      }
+      if (rule->list && node.value.items.empty()) {
+        out_.diagnostics.add(node.value.at, "an empty list", "leave '" + node.key + "' out where anything will do", node.value.length);
+        good = false;
+      }
+      for (std::size_t k = 0; good && k < node.value.items.size(); ++k) good = value(node.value.items[k], *rule, node.key);
+    } else {
+      good = value(node.value, *rule, node.key);
+    }
+    if (!good) {
+      record.settings.erase(node.key);
+      lost_.insert({record.node, node.key});
+    }
+  }
+
+  bool value(const Value& v, const KeyRule& rule, const std::string& key) {
+    auto wrong = [&](const std::string& what, const std::string& hint) {
+      out_.diagnostics.add(v.at, what, hint, v.length);
+      return false;
+    };
+    std::string wanted = "'" + key + "' wants " + std::string(describe(rule.type));
+    std::string shown = key + " = " + std::string(example(rule.type)) + ";";
+    switch (rule.type) {
+      case Type::kName:
+        if (v.kind == Value::Kind::kName || (v.kind == Value::Kind::kText && !v.text.empty())) return true;
+        return wrong(wanted, shown);
+      case Type::kText:
+      case Type::kPattern:
+        if (v.kind == Value::Kind::kText && !v.text.empty() && v.text.size() <= 250) return true;
+        return wrong(wanted + " of 1 to 250 bytes", shown);
+      case Type::kFlag:
+        if (v.kind == Value::Kind::kName && (v.text == "on" || v.text == "off")) return true;
+        return wrong(wanted, shown);
+      case Type::kAddress:
+        if (v.kind == Value::Kind::kText && loopback(v.text)) return true;
+        return wrong(wanted, shown);
+      default: break;
+    }
+    double figure = 0;
+    if (v.kind != Value::Kind::kNumber || !read_figure(rule.type, v.text, figure)) {
+      bool bare = v.kind == Value::Kind::kNumber && read_figure(Type::kInteger, v.text, figure);
+      if (bare && rule.type != Type::kInteger)
+        return wrong("'" + v.text + "' has no unit: '" + key + "' wants " + std::string(describe(rule.type)), shown);
+      return wrong(wanted, shown);
+    }
+    double high = rule.type == Type::kPercent ? std::min(rule.high, 1.0) : rule.high;
+    if (figure < rule.low || figure > high)
+      return wrong("'" + key + "' must be from " + write_figure(rule.type, rule.low) + " to " + write_figure(rule.type, high), "");
+    if (rule.type == Type::kRate && figure <= 0) return wrong("a rate of 0 lets nothing through", "leave '" + key + "' out for no limit");
+    return true;
+  }
+
+  static bool loopback(const std::string& text) {
+    std::size_t colon = text.rfind(':');
+    if (colon == text.npos || text.rfind("127.", 0) != 0) return false;
+    int parts = 0;
+    std::size_t at = 0;
+    std::string host = text.substr(0, colon);
+    while (at <= host.size()) {
+      std::size_t end = std::min(host.find('.', at), host.size());
+      double part = 0;
+      if (end == at || end - at > 3 || !read_figure(Type::kInteger, std::string_view(host).substr(at, end - at), part) || part < 0 || part > 255)
+        return false;
+      ++parts;
+      at = end + 1;
+    }
+    double port = 0;
+    return parts == 4 && read_figure(Type::kInteger, std::string_view(text).substr(colon + 1), port) && port >= 1 && port <= 65535;
+  }
+
+  void define() {
+    for (const Record& record : records_) {
+      auto [at, fresh] = names_[std::string(record.rule->kind)].emplace(record.node->name, record.node);
+      if (!fresh)
+        out_.diagnostics.add(record.node->name_at, std::string(record.rule->kind) + " '" + record.node->name + "' is defined twice",
+                             "first at " + out_.sources.name(at->second->at.file) + ":" + std::to_string(at->second->at.line),
+                             record.node->name_length);
+    }
+  }
+
+  void refer(const std::string& kind, const std::string& name, Position at, std::uint32_t length) {
+    const auto& known = names_[kind];
+    if (known.count(name)) return;
+    std::vector<std::string_view> words;
+    for (const auto& [k, node] : known) words.push_back(k);
+    auto near = nearest(name, words);
+    out_.diagnostics.add(at, kind + " '" + name + "' is not defined",
+                         near.empty() ? "define it: " + kind + " " + name + " { ... }" : "did you mean '" + std::string(near) + "'?", length);
+  }
+
+  void resolve() {
+    std::function<void(const Record&)> look = [&](const Record& record) {
+      for (const auto& [key, node] : record.settings) {
+        for (const KeyRule& k : record.rule->keys) {
+          if (k.refers.empty() || (!record.rule->free_keys && k.key != key)) continue;
+          if (record.rule->free_keys)
+            refer(std::string(k.refers), key, node->at, node->length);
+          else if (node->value.kind == Value::Kind::kList)
+            for (const Value& v : node->value.items) refer(std::string(k.refers), v.text, v.at, v.length);
+          else
+            refer(std::string(k.refers), node->value.text, node->value.at, node->value.length);
+        }
+      }
+      for (const Record& inner : record.below) look(inner);
+    };
+    for (const Record& record : records_) look(record);
+  }
+
+  struct Reader {
+    const Record& r;
+    const Value* find(const char* key) const {
+      auto it = r.settings.find(key);
+      return it == r.settings.end() ? nullptr : &it->second->value;
+    }
+    std::string text(const char* key) const { return find(key) ? find(key)->text : std::string(); }
+    double figure(const char* key, double absent) const {
+      const Value* v = find(key);
+      if (!v) return absent;
+      double f = absent;
+      for (const KeyRule& k : r.rule->keys)
+        if (k.key == key) read_figure(k.type, v->text, f);
+      return f;
+    }
+    std::int64_t integer(const char* key, std::int64_t absent) const {
+      return static_cast<std::int64_t>(figure(key, static_cast<double>(absent)));
+    }
+    std::vector<std::string> texts(const char* key) const {
+      const Value* v = find(key);
+      if (!v) return {};
+      if (v->kind != Value::Kind::kList) return {v->text};
+      std::vector<std::string> list;
+      for (const Value& item : v->items) list.push_back(item.text);
+      return list;
+    }
+    std::vector<std::string> sorted(const char* key) const {
+      auto list = texts(key);
+      std::sort(list.begin(), list.end());
+      list.erase(std::unique(list.begin(), list.end()), list.end());
+      return list;
+    }
+  };
+
+  void build() {
+    Model& m = out_.model;
+    for (const Record& record : records_) {
+      Reader r{record};
+      const std::string& name = record.node->name;
+      std::string_view kind = record.rule->kind;
+      Place place{record.node->name_at, record.node->name_length, {}};
+      for (const auto& [key, node] : record.settings) place.keys[key] = node->value.at;
+      places_[std::string(kind) + " " + name] = place;
+      if (kind == "listener") m.listeners[name] = {r.text("address")};
+      if (kind == "class") m.classes[name] = {r.integer("attempts", 1), r.integer("worth", 1), r.text("keyed") == "on", r.text("limit")};
+      if (kind == "tenant") m.tenants[name] = {r.text("limit")};
+      if (kind == "limit") {
+        Limit l{r.figure("rate", 0), r.integer("burst", 0), r.integer("in_flight", 0), r.integer("come_back", 0)};
+        // A tenth of a second's worth where nothing else is said, at least one.
+        if (l.rate > 0 && !r.find("burst")) l.burst = std::max<std::int64_t>(1, static_cast<std::int64_t>(l.rate / 10));
+        m.limits[name] = l;
+      }
+      if (kind == "budget") m.budgets[name] = {r.figure("retries", 0), r.figure("hedges", 0), r.figure("floor", 0)};
+      if (kind == "pool") {
+        Pool p;
+        p.halls = r.sorted("halls"), p.kinds = r.sorted("kinds"), p.hosts = r.sorted("hosts"), p.servers = r.sorted("servers");
+        for (const std::string& b : r.sorted("blocks")) p.blocks.push_back(std::stoll(b));
+        std::sort(p.blocks.begin(), p.blocks.end());
+        p.limit = r.text("limit"), p.budget = r.text("budget");
+        for (const Record& shares : record.below)
+          for (const auto& [tenant, node] : shares.settings) {
+            double part = 0;
+            read_figure(Type::kPercent, node->value.text, part);
+            p.shares[tenant] = part;
+          }
+        if (record.below.size() > 1)
+          out_.diagnostics.add(record.below[1].node->at, "'shares' stands twice in this pool", "", record.below[1].node->length);
+        m.pools[name] = p;
+      }
+      if (kind == "route") {
+        Route t;
+        t.listener = r.text("listener"), t.tenant = r.text("tenant"), t.type = r.text("class"), t.prefix = r.text("prefix");
+        t.pool = r.text("pool"), t.fallbacks = r.texts("fallbacks"), t.limit = r.text("limit"), t.budget = r.text("budget");
+        t.fall_over_at = r.figure("fall_over_at", t.fall_over_at), t.fall_back_at = r.figure("fall_back_at", std::min(t.fall_back_at, t.fall_over_at));
+        t.spill = r.figure("spill", t.spill);
+        m.routes[name] = t;
+      }
+    }
+  }
+
+  Compiled& out_;
+  const Loader& load_;
+  std::vector<std::string> chain_;
+  std::set<std::string> included_;
+  std::vector<std::pair<std::uint32_t, const Node*>> order_;
+  std::vector<Record> records_;
+  std::map<std::string, std::map<std::string, const Node*>> names_;
+  std::set<std::pair<const Node*, std::string>> lost_;  // keys that were there but can't be used
+  Places places_;
+};
+
+}  // namespace
+
+Compiled compile(const std::string& name, const std::string& text, const Loader& load) {
+  Compiled out;
+  if (text.size() > kMostBytes) {
+    out.sources.add(name, "");
+    out.diagnostics.add({0, 1, 1}, "the file is larger than 16 MiB", "");
+    return out;
+  }
+  Compiler(out, load).run(name, text);
+  return out;
+}
+
+}  // namespace violetusher::core::config
--- /dev/null
+++ b/src/core/config/lexer.cpp
@@ -0,0 +1,169 @@
+#include "syntax.hpp"
+
+namespace violetusher::core::config {
+namespace {
+
+constexpr std::size_t kMostToken = 4096;  // bytes of one token
+
+bool starts_name(char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '_'; }
+bool digit(char c) { return c >= '0' && c <= '9'; }
+bool in_name(char c) { return starts_name(c) || digit(c) || c == '-' || c == '.'; }
+bool in_number(char c) { return digit(c) || starts_name(c) || c == '.' || c == '%' || c == '/'; }
+
+class Lexer {
+ public:
+  Lexer(const Sources& sources, std::uint32_t file, Diagnostics& diagnostics)
+      : text_(sources.text(file)), diagnostics_(diagnostics) {
+    at_.file = file;
+  }
+
+  std::vector<Token> run() {
+    while (!diagnostics_.full()) {
+      skip();
+      if (here_ == text_.size()) break;
+      token();
+    }
+    Token end;
+    end.at = at_;
+    end.comments = std::move(comments_);
+    tokens_.push_back(std::move(end));
+    return std::move(tokens_);
+  }
+
+ private:
+  void step() {
+    if (text_[here_++] == '\n') {
+      ++at_.line;
+      at_.column = 1;
+    } else {
+      ++at_.column;
+    }
+  }
+
+  /// White space and comments; a comment on the line of the last token is that one's.
+  void skip() {
+    while (here_ < text_.size()) {
+      char c = text_[here_];
+      if (c == ' ' || c == '\t' || c == '\r' || c == '\n') {
+        step();
+      } else if (c == '#') {
+        std::size_t begin = here_ + 1;
+        Position at = at_;
+        bool bad = false;
+        while (here_ < text_.size() && text_[here_] != '\n') {
+          bad |= text_[here_] == '\0';
+          step();
+        }
+        if (bad) diagnostics_.add(at, "a zero byte in a comment", "operator files are plain text");
+        std::string comment(text_.substr(begin, here_ - begin));
+        while (!comment.empty() && (comment.back() == ' ' || comment.back() == '\r' || comment.back() == '\t'))
+          comment.pop_back();
+        if (!tokens_.empty() && tokens_.back().at.line == at.line && comments_.empty() && tokens_.back().behind.empty())
+          tokens_.back().behind = "#" + comment;
+        else
+          comments_.push_back(comment);
+      } else {
+        return;
+      }
+    }
+  }
+
+  void push(Token::Kind kind, Position at, std::string text, std::size_t length) {
+    Token t;
+    t.kind = kind;
+    t.text = std::move(text);
+    t.at = at;
+    t.length = static_cast<std::uint32_t>(length);
+    t.comments = std::move(comments_);
+    comments_.clear();
+    tokens_.push_back(std::move(t));
+  }
+
+  void token() {
+    Position at = at_;
+    std::size_t begin = here_;
+    char c = text_[here_];
+    auto one = [&](Token::Kind kind) {
+      step();
+      push(kind, at, std::string(1, c), 1);
+    };
+    switch (c) {
+      case '{': return one(Token::Kind::kOpen);
+      case '}': return one(Token::Kind::kClose);
+      case '=': return one(Token::Kind::kEquals);
+      case ';': return one(Token::Kind::kSemicolon);
+      case ',': return one(Token::Kind::kComma);
+      case '[': return one(Token::Kind::kOpenList);
+      case ']': return one(Token::Kind::kCloseList);
+      case '"': return quoted();
+      default: break;
+    }
+    if (starts_name(c) || digit(c) || (c == '-' && here_ + 1 < text_.size() && digit(text_[here_ + 1]))) {
+      bool number = !starts_name(c);
+      step();
+      while (here_ < text_.size() && (number ? in_number(text_[here_]) : in_name(text_[here_]))) step();
+      if (here_ - begin > kMostToken) {
+        diagnostics_.add(at, "a word of " + std::to_string(here_ - begin) + " bytes", "4096 at most");
+        return;
+      }
+      push(number ? Token::Kind::kNumber : Token::Kind::kName, at,
+           std::string(text_.substr(begin, here_ - begin)), here_ - begin);
+      return;
+    }
+    // A run of what can't begin a token gives one message.
+    while (here_ < text_.size() && !starts_name(text_[here_]) && !digit(text_[here_]) &&
+           std::string_view(" \t\r\n#{}=;,[]\"").find(text_[here_]) == std::string_view::npos)
+      step();
+    auto byte = static_cast<unsigned char>(c);
+    std::string shown = byte == 0 ? "a zero byte" : byte < 32 || byte >= 127 ? "byte " + std::to_string(byte)
+                                                                           : std::string("'") + c + "'";
+    diagnostics_.add(at, shown + " has no meaning here", "texts stand in quotes, comments behind '#'",
+                     static_cast<std::uint32_t>(here_ - begin));
+  }
+
+  void quoted() {
+    Position at = at_;
+    std::size_t begin = here_;
+    std::string value;
+    step();
+    while (here_ < text_.size() && text_[here_] != '"' && text_[here_] != '\n') {
+      char c = text_[here_];
+      if (c == '\\' && here_ + 1 < text_.size() && (text_[here_ + 1] == '"' || text_[here_ + 1] == '\\')) {
+        step();
+        c = text_[here_];
+      } else if (c == '\\') {
+        diagnostics_.add(at_, "'\\' before something else than '\"' or '\\'", "write '\\\\' for one '\\'");
+      } else if (static_cast<unsigned char>(c) < 32) {
+        diagnostics_.add(at_, "a control character in a text", "operator files are plain text");
+      }
+      value += c;
+      step();
+    }
+    if (here_ == text_.size() || text_[here_] == '\n') {
+      diagnostics_.add(at, "a text that does not end on its line", "close it with '\"'");
+    } else {
+      step();
+    }
+    if (value.size() > kMostToken) {
+      diagnostics_.add(at, "a text of " + std::to_string(value.size()) + " bytes", "4096 at most");
+      value.resize(kMostToken);
+    }
+    push(Token::Kind::kText, at, std::move(value), here_ - begin);
+  }
+
+  std::string_view text_;
+  Diagnostics& diagnostics_;
+  std::size_t here_ = 0;
+  Position at_;
+  std::vector<Token> tokens_;
+  std::vector<std::string> comments_;
+};
+
+}  // namespace
+
+std::vector<Token> cut(const Sources& sources, std::uint32_t file, Diagnostics& diagnostics) {
+  diagnostics.enter(Diagnostic::Stage::kLexer);
+  return Lexer(sources, file, diagnostics).run();
+}
+
+}  // namespace violetusher::core::config
--- /dev/null
+++ b/src/core/config/model.hpp
@@ -0,0 +1,102 @@
+// An operator file compiled: what it means, free of how it is written. Two files that mean the same
+// have equal models.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "source.hpp"
+#include "syntax.hpp"
+
+namespace violetusher::core::config {
+
+struct Limit {
+  double rate = 0;              ///< a second; 0 = none
+  std::int64_t burst = 0;       ///< of the rate; 0 where there is no rate
+  std::int64_t in_flight = 0;   ///< 0 = none
+  std::int64_t come_back = 0;   ///< microseconds, told with a refusal; 0 = none
+  bool operator==(const Limit&) const = default;
+};
+
+struct Budget {
+  double retries = 0, hedges = 0;  ///< parts of the first tries
+  double floor = 0;                ///< a second, always allowed
+  bool operator==(const Budget&) const = default;
+};
+
+struct Class {
+  std::int64_t attempts = 1, worth = 1;
+  bool keyed = false;
+  std::string limit;
+  bool operator==(const Class&) const = default;
+};
+
+struct Tenant {
+  std::string limit;
+  bool operator==(const Tenant&) const = default;
+};
+
+struct Pool {
+  std::vector<std::string> halls, kinds, hosts;  ///< sorted; empty = any
+  std::vector<std::int64_t> blocks;
+  std::vector<std::string> servers;  ///< a static list instead of a selection
+  std::map<std::string, double> shares;  ///< by tenant; empty = nobody's is kept
+  std::string limit, budget;
+  bool operator==(const Pool&) const = default;
+};
+
+struct Route {
+  std::string listener, tenant, type, prefix;  ///< empty = any
+  std::string pool;
+  std::vector<std::string> fallbacks;
+  double fall_over_at = 0.5, fall_back_at = 0.2, spill = 1;
+  std::string limit, budget;
+  bool operator==(const Route&) const = default;
+};
+
+struct Listener {
+  std::string address;
+  bool operator==(const Listener&) const = default;
+};
+
+struct Model {
+  std::int64_t version = 1;
+  std::map<std::string, Listener> listeners;
+  std::map<std::string, Class> classes;
+  std::map<std::string, Tenant> tenants;
+  std::map<std::string, Limit> limits;
+  std::map<std::string, Budget> budgets;
+  std::map<std::string, Pool> pools;
+  std::map<std::string, Route> routes;
+  bool operator==(const Model&) const = default;
+};
+
+/// Bounds on all files of one configuration together.
+inline constexpr std::size_t kMostBytes = 16u << 20;
+inline constexpr std::size_t kMostFiles = 256;
+
+/// Gives the text of a file that is included as `name` from `from`, and the name by which it is known
+/// (a path made plain), or a reason why it can't be had.
+struct Loaded {
+  std::string name, text, error;
+};
+using Loader = std::function<Loaded(const std::string& from, const std::string& name)>;
+
+struct Compiled {
+  Sources sources;
+  Diagnostics diagnostics;
+  Model model;  ///< to be used only where there are no diagnostics
+  std::vector<Tree> trees;  ///< by file
+};
+
+/// Reads `text` as file `name` and what it includes, and checks all of it.
+Compiled compile(const std::string& name, const std::string& text, const Loader& load);
+
+/// The text in its canonical form, comments kept. Only of a text that can be parsed.
+std::string format(const Tree& tree);
+
+}  // namespace violetusher::core::config
--- /dev/null
+++ b/src/core/config/parser.cpp
@@ -0,0 +1,249 @@
+#include "syntax.hpp"
+
+namespace violetusher::core::config {
+namespace {
+
+constexpr int kDeepest = 8;  // blocks or lists inside one another
+
+class Parser {
+ public:
+  Parser(const Sources& sources, std::uint32_t file, Diagnostics& diagnostics)
+      : before_(diagnostics.count()),
+        tokens_(cut(sources, file, diagnostics)),
+        diagnostics_(diagnostics),
+        spoilt_(diagnostics.count() > before_) {
+    diagnostics.enter(Diagnostic::Stage::kParser);
+  }
+
+  Tree run() {
+    Tree tree;
+    while (!is(Token::Kind::kEnd) && !diagnostics_.full()) {
+      if (is(Token::Kind::kClose)) {
+        diagnostics_.add(here().at, "'}' closes nothing", "");
+        ++at_;
+        continue;
+      }
+      Node node;
+      if (read_node(node, 0)) tree.nodes.push_back(std::move(node));
+    }
+    tree.closing_comments = tokens_.back().comments;
+    return tree;
+  }
+
+ private:
+  const Token& here() const { return tokens_[at_]; }
+  bool is(Token::Kind kind) const { return here().kind == kind; }
+
+  static std::string word_of(const Token& t) {
+    switch (t.kind) {
+      case Token::Kind::kEnd: return "the end of the file";
+      case Token::Kind::kText: return "\"" + t.text.substr(0, 40) + "\"";
+      default: return "'" + t.text.substr(0, 40) + "'";
+    }
+  }
+
+  void expected(const std::string& what, const std::string& hint = "") {
+    // Of what is missing it helps to point behind the last thing that was there.
+    const Token& t = here();
+    if (spoilt_ && t.kind == Token::Kind::kEnd) return;
+    bool missing = what == "';'" && at_ > 0;
+    if (missing) {
+      const Token& before = tokens_[at_ - 1];
+      Position behind = before.at;
+      behind.column += before.length;
+      diagnostics_.add(behind, "';' is missing", "each setting ends with ';'");
+    } else {
+      diagnostics_.add(t.at, "expected " + what + ", found " + word_of(t), hint, std::max(1u, t.length));
+    }
+  }
+
+  /// Goes on behind the next ';' or before the '}' that closes this block.
+  void recover() {
+    int depth = 0;
+    while (!is(Token::Kind::kEnd)) {
+      if (is(Token::Kind::kOpen)) ++depth;
+      if (is(Token::Kind::kClose)) {
+        if (depth == 0) return;
+        if (--depth == 0) {
+          ++at_;
+          return;
+        }
+      }
+      bool ends = is(Token::Kind::kSemicolon) && depth == 0;
+      ++at_;
+      if (ends) return;
+    }
+  }
+
+  bool semicolon(Node& node) {
+    if (is(Token::Kind::kSemicolon)) {
+      node.behind = here().behind;
+      ++at_;
+      return true;
+    }
+    bool next_line = at_ > 0 && here().at.line > tokens_[at_ - 1].at.line;
+    expected("';'");
+    if (!next_line && !is(Token::Kind::kClose)) recover();
+    return true;  // what was set is meant
+  }
+
+  /// Comments in the midst of a node go before it: none is lost, and the canonical form has no place
+  /// there. `last` is the node's last token, whose own comment behind it stays there.
+  void gather(Node& node, std::size_t from, std::size_t last) {
+    for (std::size_t k = from; k <= last && k < tokens_.size(); ++k) {
+      if (k > from)
+        node.comments.insert(node.comments.end(), tokens_[k].comments.begin(), tokens_[k].comments.end());
+      if (k < last && !tokens_[k].behind.empty()) node.comments.push_back(tokens_[k].behind.substr(1));
+    }
+  }
+
+  bool read_node(Node& node, int depth) {
+    std::size_t from = at_;
+    bool good = read_rest(node, depth);
+    if (node.kind != Node::Kind::kBlock && good) gather(node, from, at_ - 1);
+    return good;
+  }
+
+  bool read_rest(Node& node, int depth) {
+    std::size_t from = at_;
+    const Token& first = here();
+    node.at = first.at;
+    node.length = first.length;
+    node.comments = first.comments;
+    if (first.kind != Token::Kind::kName) {
+      expected("a name", "settings are KEY = VALUE; and sections KIND NAME { ... }");
+      std::size_t before = at_;
+      recover();
+      if (at_ == before) ++at_;
+      return false;
+    }
+    node.key = first.text;
+    ++at_;
+    if (depth == 0 && node.key == "include" && !is(Token::Kind::kEquals)) {
+      node.kind = Node::Kind::kInclude;
+      if (!is(Token::Kind::kText)) return fail("a file's name in quotes", "include \"pools.conf\";");
+      node.value = scalar();
+      return semicolon(node);
+    }
+    if (depth == 0 && node.key == "version" && !is(Token::Kind::kEquals)) {
+      node.kind = Node::Kind::kVersion;
+      if (!is(Token::Kind::kNumber)) return fail("the version's number", "version 1;");
+      node.value = scalar();
+      return semicolon(node);
+    }
+    if (is(Token::Kind::kEquals)) {
+      ++at_;
+      if (!read_value(node.value, 0)) {
+        recover();
+        return false;
+      }
+      return semicolon(node);
+    }
+    node.kind = Node::Kind::kBlock;
+    if (is(Token::Kind::kName) || is(Token::Kind::kText)) {
+      node.name = here().text;
+      node.name_at = here().at;
+      node.name_length = here().length;
+      ++at_;
+    } else {
+      node.name_at = node.at;
+      node.name_length = node.length;
+    }
+    if (!is(Token::Kind::kOpen)) return fail("'=' or '{'", "settings are KEY = VALUE; and sections KIND NAME { ... }");
+    if (depth + 1 > kDeepest) {
+      diagnostics_.add(here().at, "sections inside one another more than 8 deep", "");
+      recover();
+      return false;
+    }
+    node.behind = here().behind;
+    gather(node, from, at_);
+    Position opened = here().at;
+    ++at_;
+    while (!is(Token::Kind::kClose)) {
+      if (is(Token::Kind::kEnd) || diagnostics_.full()) {
+        if (!diagnostics_.full() && !spoilt_) diagnostics_.add(opened, "'{' is not closed", "close the section with '}'");
+        return true;
+      }
+      Node inner;
+      if (read_node(inner, depth + 1)) node.nodes.push_back(std::move(inner));
+    }
+    node.closing_comments = here().comments;
+    node.closing_behind = here().behind;
+    ++at_;
+    if (is(Token::Kind::kSemicolon)) {  // many write one; it means nothing
+      const Token& t = here();
+      node.closing_comments.insert(node.closing_comments.end(), t.comments.begin(), t.comments.end());
+      if (node.closing_behind.empty())
+        node.closing_behind = t.behind;
+      else if (!t.behind.empty())
+        node.closing_comments.push_back(t.behind.substr(1));
+      ++at_;
+    }
+    return true;
+  }
+
+  bool fail(const std::string& what, const std::string& hint) {
+    expected(what, hint);
+    recover();
+    return false;
+  }
+
+  Value scalar() {
+    const Token& t = here();
+    Value v;
+    v.kind = t.kind == Token::Kind::kText     ? Value::Kind::kText
+             : t.kind == Token::Kind::kNumber ? Value::Kind::kNumber
+                                              : Value::Kind::kName;
+    v.text = t.text;
+    v.at = t.at;
+    v.length = t.length;
+    ++at_;
+    return v;
+  }
+
+  bool read_value(Value& value, int depth) {
+    if (is(Token::Kind::kName) || is(Token::Kind::kText) || is(Token::Kind::kNumber)) {
+      value = scalar();
+      return true;
+    }
+    if (!is(Token::Kind::kOpenList)) {
+      expected("a value", "a number with its unit, a name, a text in quotes or a list [..]");
+      return false;
+    }
+    value.kind = Value::Kind::kList;
+    value.at = here().at;
+    value.length = 1;
+    if (depth > 0) {
+      diagnostics_.add(here().at, "a list inside a list", "lists hold names, texts and numbers");
+      return false;
+    }
+    ++at_;
+    while (!is(Token::Kind::kCloseList)) {
+      Value item;
+      if (!read_value(item, depth + 1)) return false;
+      value.items.push_back(std::move(item));
+      if (is(Token::Kind::kComma)) {
+        ++at_;
+      } else if (!is(Token::Kind::kCloseList)) {
+        expected("',' or ']'");
+        return false;
+      }
+    }
+    ++at_;
+    return true;
+  }
+
+  std::size_t before_;
+  std::vector<Token> tokens_;
+  std::size_t at_ = 0;
+  Diagnostics& diagnostics_;
+  bool spoilt_;  // the lexer left something out: that the file ends too early is no wonder
+};
+
+}  // namespace
+
+Tree parse(const Sources& sources, std::uint32_t file, Diagnostics& diagnostics) {
+  return Parser(sources, file, diagnostics).run();
+}
+
+}  // namespace violetusher::core::config
--- /dev/null
+++ b/src/core/config/schema.cpp
@@ -0,0 +1,180 @@
+#include "schema.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <initializer_list>
+#include <utility>
+#include <vector>
+
+namespace violetusher::core::config {
+namespace {
+
+constexpr KeyRule kPool[] = {{.key = "halls", .type = Type::kName, .list = true},
+                             {.key = "kinds", .type = Type::kName, .list = true},
+                             {.key = "blocks", .type = Type::kInteger, .list = true},
+                             {.key = "hosts", .type = Type::kPattern, .list = true},
+                             {.key = "servers", .type = Type::kAddress, .list = true},
+                             {.key = "limit", .type = Type::kName, .refers = "limit"},
+                             {.key = "budget", .type = Type::kName, .refers = "budget"}};
+constexpr KeyRule kShares[] = {{.key = "*", .type = Type::kPercent, .refers = "tenant"}};
+constexpr KeyRule kClass[] = {
+    {.key = "attempts", .type = Type::kInteger, .required = true, .low = 1, .high = 100},
+    {.key = "worth", .type = Type::kInteger, .low = 0, .high = 1000},
+    {.key = "keyed", .type = Type::kFlag},
+    {.key = "limit", .type = Type::kName, .refers = "limit"}};
+constexpr KeyRule kTenant[] = {{.key = "limit", .type = Type::kName, .refers = "limit"}};
+constexpr KeyRule kLimit[] = {{.key = "rate", .type = Type::kRate, .high = 1e9},
+                              {.key = "burst", .type = Type::kInteger, .low = 1, .high = 1e9},
+                              {.key = "in_flight", .type = Type::kInteger, .low = 1, .high = 1e9},
+                              {.key = "come_back", .type = Type::kDuration, .low = 1000, .high = 60e6}};
+constexpr KeyRule kBudget[] = {{.key = "retries", .type = Type::kShare, .required = true, .high = 100},
+                               {.key = "hedges", .type = Type::kShare, .high = 100},
+                               {.key = "floor", .type = Type::kRate, .high = 1e6}};
+constexpr KeyRule kRoute[] = {{.key = "listener", .type = Type::kName, .refers = "listener"},
+                              {.key = "tenant", .type = Type::kName, .refers = "tenant"},
+                              {.key = "class", .type = Type::kName, .refers = "class"},
+                              {.key = "prefix", .type = Type::kText},
+                              {.key = "pool", .type = Type::kName, .required = true, .refers = "pool"},
+                              {.key = "fallbacks", .type = Type::kName, .list = true, .refers = "pool"},
+                              {.key = "fall_over_at", .type = Type::kPercent},
+                              {.key = "fall_back_at", .type = Type::kPercent},
+                              {.key = "spill", .type = Type::kPercent},
+                              {.key = "limit", .type = Type::kName, .refers = "limit"},
+                              {.key = "budget", .type = Type::kName, .refers = "budget"}};
+constexpr KeyRule kListener[] = {{.key = "address", .type = Type::kAddress, .required = true}};
+
+constexpr SectionRule kSections[] = {
+    {.kind = "listener", .keys = kListener}, {.kind = "class", .keys = kClass},
+    {.kind = "tenant", .keys = kTenant},     {.kind = "limit", .keys = kLimit},
+    {.kind = "budget", .keys = kBudget},     {.kind = "pool", .keys = kPool},
+    {.kind = "shares", .keys = kShares, .named = false, .below = "pool", .free_keys = true},
+    {.kind = "route", .keys = kRoute}};
+
+struct Unit {
+  std::string_view name;
+  double times;
+};
+constexpr Unit kDurations[] = {{"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"min", 6e7}};
+constexpr Unit kSizes[] = {{"B", 1}, {"KiB", 1024}, {"MiB", 1048576}, {"GiB", 1073741824}};
+constexpr Unit kRates[] = {{"/s", 1}, {"/ms", 1e3}};
+constexpr Unit kPercents[] = {{"%", 0.01}};
+constexpr Unit kPlain[] = {{"", 1}};
+
+std::span<const Unit> units_of(Type type) {
+  switch (type) {
+    case Type::kDuration: return kDurations;
+    case Type::kSize: return kSizes;
+    case Type::kRate: return kRates;
+    case Type::kPercent:
+    case Type::kShare: return kPercents;
+    default: return kPlain;
+  }
+}
+
+}  // namespace
+
+std::span<const SectionRule> sections() { return kSections; }
+
+const SectionRule* find_section(std::string_view kind, std::string_view below) {
+  for (const SectionRule& rule : kSections)
+    if (rule.kind == kind && rule.below == below) return &rule;
+  return nullptr;
+}
+
+std::string_view describe(Type type) {
+  switch (type) {
+    case Type::kName: return "a name";
+    case Type::kText: return "a text in quotes";
+    case Type::kInteger: return "a whole number";
+    case Type::kDuration: return "a duration with its unit";
+    case Type::kSize: return "a size with its unit";
+    case Type::kRate: return "a rate with its unit";
+    case Type::kPercent:
+    case Type::kShare: return "a percentage";
+    case Type::kFlag: return "on or off";
+    case Type::kAddress: return "a loopback address in quotes";
+    case Type::kPattern: return "a text in quotes, '*' for anything";
+  }
+  return "";
+}
+
+std::string_view example(Type type) {
+  switch (type) {
+    case Type::kName: return "main";
+    case Type::kText: return "\"barcode:\"";
+    case Type::kInteger: return "5";
+    case Type::kDuration: return "150ms";
+    case Type::kSize: return "64KiB";
+    case Type::kRate: return "1800/s";
+    case Type::kPercent: return "56%";
+    case Type::kShare: return "10%";
+    case Type::kFlag: return "on";
+    case Type::kAddress: return "\"127.0.0.1:11211\"";
+    case Type::kPattern: return "\"pc-*\"";
+  }
+  return "";
+}
+
+bool read_figure(Type type, std::string_view text, double& figure) {
+  double value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || !std::isfinite(value)) return false;
+  std::string_view unit = text.substr(static_cast<std::size_t>(end - text.data()));
+  for (const Unit& u : units_of(type)) {
+    if (u.name != unit) continue;
+    if (type == Type::kInteger && (value != std::floor(value) || std::abs(value) > 9e15)) return false;
+    // Durations and sizes are whole microseconds and bytes.
+    figure = type == Type::kDuration || type == Type::kSize ? std::round(value * u.times) : value * u.times;
+    return true;
+  }
+  return false;
+}
+
+std::string write_figure(Type type, double figure) {
+  auto units = units_of(type);
+  const Unit* best = &units[0];
+  // The largest unit in which it is a whole number; rates stay by the second, as people compare them.
+  if (type == Type::kDuration || type == Type::kSize)
+    for (const Unit& u : units)
+      if (figure != 0 && std::fmod(figure, u.times) == 0) best = &u;
+  double scaled = figure / best->times;
+  if (type == Type::kPercent || type == Type::kShare) scaled = figure * 100;
+  // The shortest digits that are read back as the same figure: units must not eat bits.
+  char text[64];
+  for (int digits = 6; digits <= 17; ++digits) {
+    std::snprintf(text, sizeof text, "%.*g", digits, scaled);
+    double back = 0;
+    // An exponent would not be read as part of a number with a unit by everybody: written out.
+    if (std::string_view(text).find('e') != std::string_view::npos)
+      std::snprintf(text, sizeof text, "%.0f", scaled);
+    if (read_figure(type, text + std::string(best->name), back) && back == figure) break;
+  }
+  return text + std::string(best->name);
+}
+
+std::string_view nearest(std::string_view word, std::span<const std::string_view> known) {
+  std::string_view best;
+  std::size_t least = word.size() <= 3 ? 2 : 3;  // so many changes or more are no slip of a finger
+  for (std::string_view k : known) {
+    std::vector<std::size_t> row(k.size() + 1);
+    for (std::size_t j = 0; j <= k.size(); ++j) row[j] = j;
+    for (std::size_t i = 1; i <= std::min<std::size_t>(word.size(), 64); ++i) {
+      std::size_t diagonal = row[0];
+      row[0] = i;
+      for (std::size_t j = 1; j <= k.size(); ++j) {
+        std::size_t change = diagonal + (word[i - 1] != k[j - 1]);
+        diagonal = row[j];
+        row[j] = std::min({change, row[j] + 1, row[j - 1] + 1});
+      }
+    }
+    if (row[k.size()] < least) {
+      least = row[k.size()];
+      best = k;
+    }
+  }
+  return best;
+}
+
+}  // namespace violetusher::core::config
--- /dev/null
+++ b/src/kit/config/command.cpp
@@ -0,0 +1,167 @@
+#include "command.hpp"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "core/config/diff.hpp"
+#include "core/config/model.hpp"
+#include "net/io.hpp"
+
+namespace violetusher::kit {
+namespace {
+
+namespace config = core::config;
+namespace fs = std::filesystem;
+
+constexpr int kWrongInput = 2, kDiffers = 1;
+
+/// Reads an ordinary file of bounded size. Opened without waiting: a fifo has nobody at its other end.
+std::string read_file(const std::string& path, std::string& text) {
+  net::Fd fd(::open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC));
+  struct stat info {};
+  if (!fd || ::fstat(fd.get(), &info) != 0) return std::strerror(errno);
+  if (S_ISDIR(info.st_mode)) return "it is a folder";
+  if (!S_ISREG(info.st_mode)) return "it is no ordinary file";
+  if (static_cast<std::size_t>(info.st_size) > config::kMostBytes) return "it is larger than 16 MiB";
+  text.resize(static_cast<std::size_t>(info.st_size));
+  std::size_t have = 0;
+  while (have < text.size()) {
+    ssize_t got = ::read(fd.get(), text.data() + have, text.size() - have);
+    if (got <= 0) break;
+    have += static_cast<std::size_t>(got);
+  }
+  text.resize(have);
+  return "";
+}
+
+config::Loaded load(const std::string& from, const std::string& name) {
+  fs::path path = fs::path(name).is_absolute() ? fs::path(name) : fs::path(from).parent_path() / name;
+  config::Loaded loaded;
+  loaded.name = path.lexically_normal();
+  loaded.error = read_file(loaded.name, loaded.text);
+  return loaded;
+}
+
+std::optional<config::Compiled> compile(const std::string& path, bool show = true) {
+  std::string text, error = read_file(path, text);
+  if (!error.empty()) {
+    std::fprintf(stderr, "%s: %s\n", path.c_str(), error.c_str());
+    return std::nullopt;
+  }
+  config::Compiled compiled = config::compile(fs::path(path).lexically_normal(), text, load);
+  if (show)
+    for (const auto& d : compiled.diagnostics.list())
+      std::fprintf(stderr, "%s", compiled.sources.show(d).c_str());
+  if (compiled.diagnostics.count() > compiled.diagnostics.list().size())
+    std::fprintf(stderr, "and more: only the first %zu are shown\n", compiled.diagnostics.list().size());
+  return compiled;
+}
+
+int check(const std::string& path) {
+  auto compiled = compile(path);
+  if (!compiled || !compiled->diagnostics.none()) return kWrongInput;
+  const auto& m = compiled->model;
+  std::printf("%s: %zu routes, %zu pools, %zu limits, %zu budgets in %zu files: good\n", path.c_str(), m.routes.size(), m.pools.size(),
+              m.limits.size(), m.budgets.size(), compiled->sources.count());
+  return 0;
+}
+
+int format(const std::string& path, bool only_check, bool write) {
+  std::string text, error = read_file(path, text);
+  if (!error.empty()) {
+    std::fprintf(stderr, "%s: %s\n", path.c_str(), error.c_str());
+    return kWrongInput;
+  }
+  config::Sources sources;
+  config::Diagnostics diagnostics;
+  config::Tree tree = config::parse(sources, sources.add(path, text), diagnostics);
+  diagnostics.settle();
+  for (const auto& d : diagnostics.list()) std::fprintf(stderr, "%s", sources.show(d).c_str());
+  if (!diagnostics.none()) return kWrongInput;
+  std::string formatted = config::format(tree);
+  if (only_check) {
+    if (formatted == text) return 0;
+    std::fprintf(stderr, "%s: not in its canonical form\n", path.c_str());
+    return kDiffers;
+  }
+  if (!write) {
+    std::printf("%s", formatted.c_str());
+    return 0;
+  }
+  std::string part = path + ".part";
+  std::ofstream file(part, std::ios::binary | std::ios::trunc);
+  file << formatted;
+  file.close();
+  std::error_code failed;
+  if (file) fs::rename(part, path, failed);
+  if (file && !failed) return 0;
+  fs::remove(part, failed);
+  std::fprintf(stderr, "%s: could not be written\n", path.c_str());
+  return kWrongInput;
+}
+
+int diff(const std::string& before, const std::string& after, bool json) {
+  auto a = compile(before), b = compile(after);
+  if (!a || !b || !a->diagnostics.none() || !b->diagnostics.none()) return kWrongInput;
+  auto changes = config::diff(a->model, b->model);
+  if (json) {
+    nlohmann::ordered_json list = nlohmann::ordered_json::array();
+    for (const auto& c : changes) list.push_back({{"kind", c.kind}, {"subject", c.subject}, {"what", c.what}});
+    std::printf("%s\n", list.dump(2).c_str());
+  } else {
+    for (const auto& c : changes) std::printf("%s %s: %s\n", c.kind.c_str(), c.subject.c_str(), c.what.c_str());
+    if (changes.empty()) std::printf("nothing changes in effect\n");
+  }
+  return changes.empty() ? 0 : kDiffers;
+}
+
+int explain(const std::string& path, const core::RouteRequest& request) {
+  auto compiled = compile(path);
+  if (!compiled || !compiled->diagnostics.none()) return kWrongInput;
+  std::printf("%s", config::explain(compiled->model, request).c_str());
+  return 0;
+}
+
+struct Options {
+  std::string file, other, type, tenant, key, listener;
+  bool check = false, write = false, json = false;
+};
+
+}  // namespace
+
+void add_config(CLI::App& app, int& code) {
+  auto o = std::make_shared<Options>();
+  CLI::App* sub = app.add_subcommand("config", "Checks, formats, compares and explains operator files");
+  sub->require_subcommand(1);
+  CLI::App* c = sub->add_subcommand("check", "Tells everything that is wrong, with file, line and column");
+  c->add_option("file", o->file)->required();
+  c->callback([o, &code] { code = check(o->file); });
+  CLI::App* f = sub->add_subcommand("fmt", "Prints the canonical form");
+  f->add_option("file", o->file)->required();
+  f->add_flag("--check", o->check, "print nothing; exit code 1 where the file is not in that form");
+  f->add_flag("--write", o->write, "write it back");
+  f->callback([o, &code] { code = format(o->file, o->check, o->write); });
+  CLI::App* d = sub->add_subcommand("diff", "What changes in effect; exit code 1 where anything does");
+  d->add_option("old", o->file)->required();
+  d->add_option("new", o->other)->required();
+  d->add_flag("--json", o->json);
+  d->callback([o, &code] { code = diff(o->file, o->other, o->json); });
+  CLI::App* e = sub->add_subcommand("explain", "The route that a request takes, step by step");
+  e->add_option("file", o->file)->required();
+  e->add_option("--class", o->type);
+  e->add_option("--tenant", o->tenant);
+  e->add_option("--key", o->key);
+  e->add_option("--listener", o->listener);
+  e->callback([o, &code] { code = explain(o->file, {o->listener, o->tenant, o->type, o->key}); });
+}
+
+}  // namespace violetusher::kit
--- a/src/kit/main.cpp
+++ b/src/kit/main.cpp
@@ -6,6 +6,7 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
+#include "kit/config/command.hpp"
 #include "kit/rehearse/command.hpp"
 
 int main(int argc, char** argv) {
@@ -15,6 +16,7 @@
   int code = 0;
   violetusher::rehearse::add_rehearse(app, argv[0], code);
   violetusher::rehearse::add_standin(app, code);
+  violetusher::kit::add_config(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- /dev/null
+++ b/tests/core/config/config_test.cpp
@@ -0,0 +1,249 @@
+// The operator language: a corpus of broken files, properties of formatter and diff, spoilt bytes.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "core/config/diff.hpp"
+#include "core/config/model.hpp"
+#include "core/config/schema.hpp"
+
+namespace violetusher::core::config {
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string contents(const fs::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+Loaded from_corpus(const std::string&, const std::string& name) {
+  fs::path path = fs::path(VIOLETUSHER_CORPUS) / name;
+  if (fs::is_directory(path)) return {name, "", "it is a folder"};
+  if (!fs::exists(path)) return {name, "", "No such file or directory"};
+  return {name, contents(path), ""};
+}
+
+Loaded nothing(const std::string&, const std::string& name) { return {name, "", "there is none"}; }
+
+std::vector<std::string> broken_files() {
+  std::vector<std::string> names;
+  for (const auto& entry : fs::directory_iterator(VIOLETUSHER_CORPUS))
+    if (entry.path().extension() == ".conf") names.push_back(entry.path().stem());
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+TEST(Corpus, EachBrokenFileGivesJustItsMessage) {
+  auto names = broken_files();
+  EXPECT_GE(names.size(), 120u);
+  for (const std::string& name : names) {
+    fs::path path = fs::path(VIOLETUSHER_CORPUS) / (name + ".conf");
+    Compiled c = compile(name + ".conf", contents(path), from_corpus);
+    std::string got;
+    for (const Diagnostic& d : c.diagnostics.list()) {
+      got += c.sources.brief(d) + "\n";
+      // Shown, the caret stands under the line that it is about, and nothing in it is unprintable.
+      std::string shown = c.sources.show(d);
+      EXPECT_NE(shown.find('^'), shown.npos);
+      EXPECT_LT(shown.size(), 1500u) << name;
+      EXPECT_EQ(shown.find('\0'), shown.npos) << name;
+    }
+    EXPECT_EQ(got, contents(fs::path(VIOLETUSHER_CORPUS) / (name + ".expected"))) << name;
+    EXPECT_FALSE(c.diagnostics.none()) << name;
+  }
+}
+
+TEST(Show, CaretStandsUnderTheMistake) {
+  Compiled c = compile("f.conf", "version 1;\npool main { }\nroute r { pool = mian; }\n", nothing);
+  ASSERT_EQ(c.diagnostics.list().size(), 1u);
+  EXPECT_EQ(c.sources.show(c.diagnostics.list()[0]),
+            "f.conf:3:18: pool 'mian' is not defined\n"
+            "  route r { pool = mian; }\n"
+            "                   ^~~~\n"
+            "  did you mean 'main'?\n");
+}
+
+TEST(Compile, UnderstandsWhatIsWritten) {
+  Compiled c = compile("f", "version 1;\nclass c { attempts = 4; keyed = on; }\ntenant a { }\ntenant b { }\n"
+                            "limit l { rate = 1.5/ms; in_flight = 7; come_back = 0.25s; }\nbudget g { retries = 12.5%; floor = 3/s; }\n"
+                            "pool p { halls = [kality, bole]; hosts = [\"pc-*\"]; blocks = [2, 1]; limit = l; shares { a = 56%; b = 44%; } }\n"
+                            "pool q { servers = [\"127.0.0.1:80\"]; }\n"
+                            "route r { class = c; prefix = \"x\"; pool = p; fallbacks = [q]; spill = 30%; budget = g; }\n", nothing);
+  for (const auto& d : c.diagnostics.list()) ADD_FAILURE() << c.sources.show(d);
+  EXPECT_EQ(c.model.limits.at("l"), (Limit{1500, 150, 7, 250'000}));
+  EXPECT_EQ(c.model.budgets.at("g"), (Budget{0.125, 0, 3}));
+  EXPECT_EQ(c.model.pools.at("p").halls, (std::vector<std::string>{"bole", "kality"}));
+  EXPECT_EQ(c.model.pools.at("p").blocks, (std::vector<std::int64_t>{1, 2}));
+  EXPECT_DOUBLE_EQ(c.model.pools.at("p").shares.at("a"), 0.56);
+  EXPECT_EQ(c.model.routes.at("r").fallbacks, std::vector<std::string>{"q"});
+  EXPECT_TRUE(c.model.classes.at("c").keyed);
+}
+
+/// A file of pools, limits and routes by a generator: always a good one.
+std::string generated(std::mt19937_64& random, bool spaces) {
+  auto pick = [&](std::size_t n) { return static_cast<std::size_t>(random() % n); };
+  auto gap = [&] { return spaces && pick(3) == 0 ? std::string(pick(2) ? "  \n" : " # c" + std::to_string(pick(9)) + "\n") : std::string(" "); };
+  std::string text = "version 1;\n";
+  std::vector<std::string> sections{"listener side" + gap() + "{ address = \"127.0.0.1:" + std::to_string(1 + pick(60000)) + "\"; }\n"};
+  for (const char* c : {"lookup", "sale"})
+    sections.push_back("class " + std::string(c) + " {" + gap() + "attempts = " + std::to_string(2 + pick(4)) + "; }\n");
+  for (const char* t : {"selam", "koket"}) sections.push_back("tenant " + std::string(t) + " {" + gap() + "}\n");
+  for (int k = 0; k < 3; ++k)
+    sections.push_back("limit l" + std::to_string(k) + " {" + gap() + "rate = " + std::to_string(1 + pick(500)) +
+                       (pick(2) ? "/s" : "/ms") + ";" + gap() + "come_back = " + std::to_string(1 + pick(2000)) + "ms; }\n");
+  for (int k = 0; k < 3; ++k)
+    sections.push_back("pool p" + std::to_string(k) + " {" + gap() + "halls = [" + (pick(2) ? "bole," + gap() + "kality" : "piassa") + "]; }\n");
+  const char* types[] = {"", "class = lookup;", "class = sale;"};
+  const char* tenants[] = {"", "tenant = selam;", "tenant = koket;"};
+  const char* prefixes[] = {"", "prefix = \"a\";", "prefix = \"ab\";", "prefix = \"b\";"};
+  std::set<std::size_t> used;
+  for (int k = 0; k < 6; ++k) {
+    std::size_t a = pick(3), b = pick(3), c = pick(4), d = pick(2);
+    if (!used.insert(((a * 3 + b) * 4 + c) * 2 + d).second) continue;
+    sections.push_back("route r" + std::to_string(k) + " {" + gap() + (d ? "listener = side;" : "") + gap() + types[a] + gap() + tenants[b] + gap() +
+                       prefixes[c] + " pool = p" + std::to_string(pick(3)) + ";" + (pick(2) ? " limit = l" + std::to_string(pick(3)) + ";" : "") + " }\n");
+  }
+  std::shuffle(sections.begin(), sections.end(), random);
+  for (auto& s : sections) text += s;
+  return text;
+}
+
+Compiled good(const std::string& text) {
+  Compiled c = compile("g", text, nothing);
+  for (const auto& d : c.diagnostics.list()) ADD_FAILURE() << c.sources.show(d) << text;
+  return c;
+}
+
+RC_GTEST_PROP(Format, IsIdempotentAndKeepsTheMeaning, (std::uint64_t seed)) {
+  std::mt19937_64 random(seed);
+  std::string text = generated(random, true);
+  Compiled before = good(text);
+  std::string once = format(before.trees[0]);
+  Compiled after = good(once);
+  RC_ASSERT(before.model == after.model);
+  RC_ASSERT(format(after.trees[0]) == once);
+  RC_ASSERT(std::count(text.begin(), text.end(), '#') == std::count(once.begin(), once.end(), '#'));
+}
+
+RC_GTEST_PROP(Diff, OfAFileWithItselfIsEmpty, (std::uint64_t seed)) {
+  std::mt19937_64 random(seed);
+  Model m = good(generated(random, false)).model;
+  RC_ASSERT(diff(m, m).empty());
+}
+
+/// Each request whose way differs is covered by a line, and no line covers only requests that stay.
+RC_GTEST_PROP(Diff, IsComplete, (std::uint64_t seed)) {
+  std::mt19937_64 random(seed);
+  Model a = good(generated(random, false)).model, b = good(generated(random, false)).model;
+  auto changes = diff(a, b);
+  Routing before(a), after(b);
+  for (const char* listener : {"", "side"})
+    for (const char* tenant : {"", "selam", "koket", "other"})
+      for (const char* type : {"", "lookup", "sale"})
+        for (const char* key : {"", "a", "abc", "ab", "b", "bcd", "z"}) {
+          RouteRequest r{listener, tenant, type, key};
+          if (effect_of(a, before.find(r)) == effect_of(b, after.find(r))) continue;
+          bool covered = std::any_of(changes.begin(), changes.end(), [&](const Change& c) {
+            return c.kind == "route" && (c.match.listener.empty() || c.match.listener == listener) &&
+                   (c.match.tenant.empty() || c.match.tenant == tenant) && (c.match.type.empty() || c.match.type == type) &&
+                   std::string_view(key).starts_with(c.match.prefix);
+          });
+          RC_ASSERT(covered);
+        }
+}
+
+TEST(Diff, RenamesAndReorderingsChangeNothing) {
+  Model a = good("version 1;\nlimit x { rate = 60/s; }\npool main { limit = x; }\nroute r { pool = main; }\n").model;
+  Model b = good("version 1;\nroute all { pool = every; }\npool every { limit = y; }\nlimit y { rate = 60/s; }\n").model;
+  EXPECT_TRUE(diff(a, b).empty());
+  b.limits["y"].rate = 70;
+  auto changes = diff(a, b);
+  ASSERT_EQ(changes.size(), 1u);
+  EXPECT_EQ(changes[0].subject, "all requests");
+  EXPECT_NE(changes[0].what.find("70/s"), std::string::npos);
+}
+
+TEST(Explain, TellsTheWayStepByStep) {
+  Model m = good("version 1;\nclass c { attempts = 2; }\npool p { }\npool q { halls = [bole]; }\n"
+                 "route one { class = c; prefix = \"bar\"; pool = q; }\nroute rest { pool = p; }\n").model;
+  std::string told = explain(m, {"", "", "c", "barcode"});
+  EXPECT_EQ(told, "routes of class c: 'one' by prefix \"bar\"\npool 'q': halls bole; limit none; budget none\n");
+  told = explain(m, {"", "", "c", "x"});
+  EXPECT_EQ(told.rfind("routes of class c: none whose prefix the key has\nroutes of anybody: 'rest'\n", 0), 0u) << told;
+}
+
+TEST(Bounds, LargeAndDeepFilesEndSoonWithAClearWord) {
+  Compiled c = compile("big", std::string(kMostBytes + 1, ' '), nothing);
+  EXPECT_EQ(c.diagnostics.list().at(0).what, "the file is larger than 16 MiB");
+  c = compile("rubbish", std::string(10u << 20, '{'), nothing);
+  EXPECT_LE(c.diagnostics.list().size(), Diagnostics::kMost);
+  EXPECT_FALSE(c.diagnostics.none());
+  c = compile("brackets", "version 1;\n" + std::string(10u << 20, '['), nothing);
+  EXPECT_FALSE(c.diagnostics.none());
+  std::string pools = "version 1;\n";
+  for (int k = 0; k < 10'000; ++k) pools += "pool p" + std::to_string(k) + " { hosts = [\"pc-" + std::to_string(k) + "\"]; }\n";
+  c = compile("pools", pools, nothing);
+  EXPECT_TRUE(c.diagnostics.none());
+  EXPECT_EQ(c.model.pools.size(), 10'000u);
+  // One file of many, each of which includes the next.
+  c = compile("f0", "version 1;\ninclude \"f1\";\n", [](const std::string&, const std::string& name) {
+    int n = std::stoi(name.substr(1));
+    return Loaded{name, "include \"f" + std::to_string(n + 1) + "\";\n", ""};
+  });
+  ASSERT_EQ(c.diagnostics.list().size(), 1u);
+  EXPECT_EQ(c.diagnostics.list()[0].what, "includes inside one another more than 16 deep");
+}
+
+TEST(Fuzz, SpoiltFilesAreReadOrToldAndNothingElse) {
+  std::mt19937_64 random(20261201);
+  std::string seeds;
+  int good_ones = 0;
+  for (int k = 0; k < 4000; ++k) {
+    std::mt19937_64 maker(static_cast<std::uint64_t>(k % 50));
+    std::string text = generated(maker, true);
+    for (std::size_t n = 1 + random() % 4; n-- > 0;) {
+      std::size_t at = random() % text.size();
+      switch (random() % 4) {
+        case 0: text[at] = static_cast<char>(random()); break;
+        case 1: text.erase(at, 1 + random() % 20); break;
+        case 2: text.insert(at, 1, "{}[]=;,\"#%/\\"[random() % 12]); break;
+        default: text.insert(at, text.substr(random() % text.size(), random() % 30));
+      }
+      if (text.empty()) text = " ";
+    }
+    Compiled c = compile("f", text, nothing);
+    if (c.diagnostics.none()) {
+      ++good_ones;
+      std::string once = format(c.trees[0]);
+      Compiled again = compile("f", once, nothing);
+      ASSERT_TRUE(again.diagnostics.none()) << text << "\n---\n" << once;
+      ASSERT_TRUE(again.model == c.model) << text << "\n---\n" << once;
+    }
+    for (const auto& d : c.diagnostics.list()) {
+      ASSERT_GE(d.at.line, 1u);
+      ASSERT_FALSE(c.sources.show(d).empty());
+    }
+  }
+  EXPECT_GT(good_ones, 50);
+}
+
+RC_GTEST_PROP(Figures, AreReadBackAsWritten, ()) {
+  for (Type type : {Type::kDuration, Type::kSize, Type::kRate, Type::kPercent, Type::kShare, Type::kInteger}) {
+    double figure = *rc::gen::inRange<std::int64_t>(0, 100'000'000'000);
+    if (type == Type::kPercent) figure /= 1e11;
+    if (type == Type::kRate || type == Type::kShare) figure /= 1024;
+    double back = -1;
+    RC_ASSERT(read_figure(type, write_figure(type, figure), back));
+    RC_ASSERT(std::abs(back - figure) <= figure * 1e-12);
+  }
+}
+
+}  // namespace
+}  // namespace violetusher::core::config
