--- a/src/core/config/model.hpp
+++ b/src/core/config/model.hpp
@@ -15,10 +15,10 @@
 namespace violetusher::core::config {
 
 struct Limit {
-  double rate = 0;              ///< a second; 0 = none
-  std::int64_t burst = 0;       ///< of the rate; 0 where there is no rate
-  std::int64_t in_flight = 0;   ///< 0 = none
-  std::int64_t come_back = 0;   ///< microseconds, told with a refusal; 0 = none
+  double rate = 0;             ///< a second; 0 = none
+  std::int64_t burst = 0;      ///< of the rate; 0 where there is no rate
+  std::int64_t in_flight = 0;  ///< 0 = none
+  std::int64_t come_back = 0;  ///< microseconds, told with a refusal; 0 = none
   bool operator==(const Limit&) const = default;
 };
 
@@ -40,10 +40,16 @@
   bool operator==(const Tenant&) const = default;
 };
 
-struct Pool {
+/// Which servers a pool has. While it stays equal, so does the pool, with what its module has
+/// learnt.
+struct Selection {
   std::vector<std::string> halls, kinds, hosts;  ///< sorted; empty = any
   std::vector<std::int64_t> blocks;
   std::vector<std::string> servers;  ///< a static list instead of a selection
+  bool operator==(const Selection&) const = default;
+};
+
+struct Pool : Selection {
   std::map<std::string, double> shares;  ///< by tenant; empty = nobody's is kept
   std::string limit, budget;
   bool operator==(const Pool&) const = default;
@@ -79,8 +85,8 @@
 inline constexpr std::size_t kMostBytes = 16u << 20;
 inline constexpr std::size_t kMostFiles = 256;
 
-/// Gives the text of a file that is included as `name` from `from`, and the name by which it is known
-/// (a path made plain), or a reason why it can't be had.
+/// Gives the text of a file that is included as `name` from `from`, and the name by which it is
+/// known (a path made plain), or a reason why it can't be had.
 struct Loaded {
   std::string name, text, error;
 };
@@ -89,7 +95,7 @@
 struct Compiled {
   Sources sources;
   Diagnostics diagnostics;
-  Model model;  ///< to be used only where there are no diagnostics
+  Model model;              ///< to be used only where there are no diagnostics
   std::vector<Tree> trees;  ///< by file
 };
 
--- a/src/core/route/traffic.cpp
+++ b/src/core/route/traffic.cpp
@@ -6,12 +6,14 @@
 namespace {
 
 Limiter::Settings settings_of(const config::Limit& l) {
-  return {l.rate, static_cast<double>(std::max<std::int64_t>(l.burst, 1)), l.in_flight, l.come_back};
+  return {l.rate, static_cast<double>(std::max<std::int64_t>(l.burst, 1)), l.in_flight,
+          l.come_back};
 }
 
 }  // namespace
 
-Traffic::Traffic(config::Model model, const Traffic* before) : model_(std::move(model)), routing_(model_) {
+Traffic::Traffic(config::Model model, const Traffic* before)
+    : model_(std::move(model)), routing_(model_) {
   // Each user of a limit counts for itself.
   auto limiter = [&](const std::string& user, const std::string& limit) {
     if (limit.empty()) return;
@@ -29,7 +31,8 @@
     if (budget.empty()) return;
     const config::Budget& set = model_.budgets.at(budget);
     if (before)
-      if (auto it = before->budgets_.find(user); it != before->budgets_.end() && it->second.set == set) {
+      if (auto it = before->budgets_.find(user);
+          it != before->budgets_.end() && it->second.set == set) {
         budgets_[user] = it->second;
         return;
       }
@@ -45,12 +48,14 @@
     if (before) {
       auto it = before->model_.routes.find(name);
       auto kept = before->fallbacks_.find(name);
-      if (it != before->model_.routes.end() && it->second == r && kept != before->fallbacks_.end()) {
+      if (it != before->model_.routes.end() && it->second == r &&
+          kept != before->fallbacks_.end()) {
         fallbacks_[name] = kept->second;
         continue;
       }
     }
-    fallbacks_[name] = std::make_shared<Fallback>(Fallback::Settings{r.fall_over_at, r.fall_back_at, r.spill});
+    fallbacks_[name] =
+        std::make_shared<Fallback>(Fallback::Settings{r.fall_over_at, r.fall_back_at, r.spill});
   }
   for (const auto& [name, p] : model_.pools) {
     limiter("pool " + name, p.limit);
@@ -61,7 +66,8 @@
     if (before) {
       auto it = before->shares_.find(name);
       auto old = before->model_.pools.find(name);
-      if (it != before->shares_.end() && it->second.first == set && old->second.shares == p.shares) {
+      if (it != before->shares_.end() && it->second.first == set &&
+          old->second.shares == p.shares) {
         shares_[name] = it->second;
         continue;
       }
@@ -71,15 +77,16 @@
 }
 
 template <typename T>
-const std::string* Traffic::name_in(const std::map<std::string, T>& map, const std::string& name) const {
+const std::string* Traffic::name_in(const std::map<std::string, T>& map,
+                                    const std::string& name) const {
   auto it = map.find(name);
   return it == map.end() ? nullptr : &it->first;
 }
 
 std::vector<Limiter*> Traffic::limiters_of(const Ticket& ticket) const {
   std::vector<Limiter*> list;
-  for (const std::string& user : {"tenant " + ticket.tenant, "class " + ticket.type, "route " + *ticket.route,
-                                  "pool " + *ticket.pool})
+  for (const std::string& user : {"tenant " + ticket.tenant, "class " + ticket.type,
+                                  "route " + *ticket.route, "pool " + *ticket.pool})
     if (auto it = limiters_.find(user); it != limiters_.end()) list.push_back(it->second.get());
   return list;
 }
@@ -95,7 +102,8 @@
   return it == budgets_.end() ? nullptr : &it->second;
 }
 
-Traffic::Decision Traffic::admit(Micros now, const RouteRequest& request, bool keyed, const PoolState& pools) {
+Traffic::Decision Traffic::admit(Micros now, const RouteRequest& request, bool keyed,
+                                 const PoolState& pools) {
   Decision d;
   d.ticket.route = routing_.find(request);
   if (!d.ticket.route) return d;
@@ -169,14 +177,15 @@
   return p == pattern.size();
 }
 
-bool selected(const config::Pool& pool, const Server& server) {
+bool selected(const config::Selection& pool, const Server& server) {
   auto among = [](const auto& list, const auto& value) {
     return list.empty() || std::find(list.begin(), list.end(), value) != list.end();
   };
   return pool.servers.empty() && among(pool.halls, server.zone) && among(pool.kinds, server.kind) &&
          among(pool.blocks, server.cell) &&
-         (pool.hosts.empty() || std::any_of(pool.hosts.begin(), pool.hosts.end(),
-                                            [&](const std::string& p) { return matches(p, server.id); }));
+         (pool.hosts.empty() ||
+          std::any_of(pool.hosts.begin(), pool.hosts.end(),
+                      [&](const std::string& p) { return matches(p, server.id); }));
 }
 
 }  // namespace violetusher::core
--- a/src/core/route/traffic.hpp
+++ b/src/core/route/traffic.hpp
@@ -25,7 +25,7 @@
   struct Ticket {
     const std::string* route = nullptr;  ///< lives as long as the Traffic
     const std::string* pool = nullptr;
-    bool crossed = false;   ///< it went to a fallback
+    bool crossed = false;  ///< it went to a fallback
     bool holds = false;
     std::string tenant, type;
   };
@@ -67,12 +67,12 @@
   config::Routing routing_;
   std::map<std::string, std::shared_ptr<Limiter>> limiters_;  // by "tenant t", "class c", ...
   std::map<std::string, std::pair<config::Limit, std::shared_ptr<FairShares>>> shares_;  // by pool
-  std::map<std::string, Budgets> budgets_;  // by "route r" or "pool p"
+  std::map<std::string, Budgets> budgets_;                      // by "route r" or "pool p"
   std::map<std::string, std::shared_ptr<Fallback>> fallbacks_;  // by route
 };
 
 /// Whether a server of the discovery list is one of a pool's selection.
-bool selected(const config::Pool& pool, const Server& server);
+bool selected(const config::Selection& pool, const Server& server);
 /// `*` stands for any run of bytes.
 bool matches(std::string_view pattern, std::string_view text);
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,11 +1,12 @@
-// violetusher: one router. Reads what it is told, starts, and ends on SIGTERM. SIGHUP makes it read its
-// configuration, and the operator file where one is in use, again.
+// violetusher: one router. Reads what it is told, starts, and ends on SIGTERM. SIGHUP makes it read
+// its configuration, and the operator file where one is in use, again.
 #include <csignal>
 #include <cstdio>
 #include <cstring>
 
-#include "../net/operator_file.hpp"
-#include "../net/router.hpp"
+#include "net/operator_file.hpp"
+#include "net/router.hpp"
+#include "net/system_io.hpp"
 
 namespace {
 
@@ -17,7 +18,8 @@
 }
 
 int usage(const std::string& what) {
-  std::fprintf(stderr, "violetusher: %s\nusage: violetusher [--operator FILE] [--check]\n", what.c_str());
+  std::fprintf(stderr, "violetusher: %s\nusage: violetusher [--operator FILE] [--check]\n",
+               what.c_str());
   return kWrongInput;
 }
 
@@ -29,7 +31,8 @@
     Config config;
     if (has_config) config = load_config();
     if (!operator_file.empty()) load_operator_file(operator_file, has_config ? &config : nullptr);
-    if (!has_config && operator_file.empty()) return usage("--check: neither NODE_CONFIG nor --operator");
+    if (!has_config && operator_file.empty())
+      return usage("--check: neither NODE_CONFIG nor --operator");
     std::fprintf(stderr, "violetusher: good\n");
     return 0;
   } catch (const ConfigError& e) {
@@ -70,7 +73,8 @@
     event_config_set_flag(options.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
     EventBasePtr base(event_base_new_with_config(options.get()));
     if (!base) return complain("no event base");
-    Router router(base.get(), config);
+    SystemIo io(base.get());
+    Router router(io, config);
     if (!operator_file.empty()) router.operate(load_operator_file(operator_file, &config));
     std::string error;
     if (!router.listen(error)) return complain("listen " + config.listen + ": " + error);
--- a/src/kit/common/loop.hpp
+++ b/src/kit/common/loop.hpp
@@ -6,7 +6,7 @@
 #include <queue>
 #include <vector>
 
-#include "net/io.hpp"
+#include "net/system_io.hpp"
 
 namespace violetusher::kit {
 
@@ -37,7 +37,10 @@
   void at(Micros at, std::function<void()> task);
   /// Runs until stop() was called from within.
   void run();
-  void stop() { stopped_ = true; event_base_loopbreak(base_.get()); }
+  void stop() {
+    stopped_ = true;
+    event_base_loopbreak(base_.get());
+  }
   /// Ends the loop from another thread or a signal handler.
   void stop_from_outside() { asked_ = true; }
   const Lateness& lateness() const { return lateness_; }
--- a/src/kit/standin/connection.cpp
+++ b/src/kit/standin/connection.cpp
@@ -16,30 +16,15 @@
 using kit::Answered;
 
 constexpr std::size_t kReadAtOnce = 16u << 10;
-constexpr std::size_t kMostOut = 4u << 20;   // bytes that a reader who does not read may leave
-constexpr std::size_t kMostWaiting = 4096;   // commands of one connection that are not answered
-constexpr std::size_t kMostArrivals = 4096;  // noted while cut off; what comes later counts to the last
+constexpr std::size_t kMostOut = 4u << 20;  // bytes that a reader who does not read may leave
+constexpr std::size_t kMostWaiting = 4096;  // commands of one connection that are not answered
+constexpr std::size_t kMostArrivals =
+    4096;  // noted while cut off; what comes later counts to the last
 
 void require(bool good, const char* what) {
   if (!good) throw std::runtime_error(std::string(what) + ": " + std::strerror(errno));
 }
 
-/// The value of `name=` among the pairs of a command's `P`.
-std::string pair_of(const protocol::Command& command, std::string_view name) {
-  std::string line = command.before_d + "0" + command.after_d;
-  std::string wanted = std::string(name) + "=";
-  std::size_t at = line.find(" P");
-  if (at == line.npos) return {};
-  std::size_t end = line.find(' ', at + 1);
-  std::string_view pairs = std::string_view(line).substr(at + 2, end == line.npos ? end : end - at - 2);
-  while (!pairs.empty()) {
-    std::string_view pair = pairs.substr(0, pairs.find(','));
-    pairs.remove_prefix(std::min(pairs.size(), pair.size() + 1));
-    if (pair.substr(0, wanted.size()) == wanted) return std::string(pair.substr(wanted.size()));
-  }
-  return {};
-}
-
 }  // namespace
 
 // ---- addresses ----
@@ -51,12 +36,15 @@
   ::setsockopt(holder_.get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
   address_.sin_family = AF_INET;
   address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  require(::bind(holder_.get(), reinterpret_cast<sockaddr*>(&address_), sizeof address_) == 0, "bind");
+  require(::bind(holder_.get(), reinterpret_cast<sockaddr*>(&address_), sizeof address_) == 0,
+          "bind");
   socklen_t size = sizeof address_;
   ::getsockname(holder_.get(), reinterpret_cast<sockaddr*>(&address_), &size);
 }
 
-std::string Address::text() const { return "127.0.0.1:" + std::to_string(ntohs(address_.sin_port)); }
+std::string Address::text() const {
+  return "127.0.0.1:" + std::to_string(ntohs(address_.sin_port));
+}
 
 net::Fd Address::listen(int backlog) const {
   net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
@@ -64,7 +52,8 @@
   int yes = 1;
   ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &yes, sizeof yes);
   ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-  require(::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_) == 0, "bind");
+  require(::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_) == 0,
+          "bind");
   require(::listen(fd.get(), backlog) == 0, "listen");
   return fd;
 }
@@ -277,15 +266,15 @@
     exchange->done = true;
     bool bad = got == protocol::CommandReader::Got::Bad;
     exchange->text = got == protocol::CommandReader::Got::Noop ? "MN\r\n"
-                     : bad ? "CLIENT_ERROR bad command\r\n"
-                           : "ERROR\r\n";
+                     : bad                                     ? "CLIENT_ERROR bad command\r\n"
+                                                               : "ERROR\r\n";
     if (bad) close_after_ = true;
     return exchange;
   }
   exchange->command = std::move(command);
   exchange->handshake = first_;
   first_ = false;
-  exchange->idempotency = pair_of(exchange->command, "k");
+  exchange->idempotency = exchange->command.idempotency;
   exchange->arrived = now;
   kit::AttemptRecord record;
   RequestName name;
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -1,10 +1,6 @@
 #include "client_side.hpp"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
-#include <cerrno>
-#include <cstring>
+#include <algorithm>
 
 namespace violetusher::net {
 namespace {
@@ -29,29 +25,27 @@
 constexpr Micros kLingerTime = kSecond / 2;
 constexpr std::size_t kLingerBytes = 256u << 10;
 constexpr Micros kSweep = kSecond / 20;
-// Accepted in one go, so that those that are open are served in between.
-constexpr int kAcceptMost = 16;
+// What an empty output keeps of its memory for the next answer.
+constexpr std::size_t kKeptOut = 2048;
 
 }  // namespace
 
-class ClientConnection {
+class ClientConnection final : Watch::Target {
  public:
-  ClientConnection(ClientSide& side, Fd fd, bool over_limit)
+  ClientConnection(ClientSide& side, Socket socket, bool over_limit)
       : side_(side),
-        fd_(std::move(fd)),
+        socket_(std::move(socket)),
+        watch_(side.io_.watch(socket_.number(), *this)),
         over_limit_(over_limit),
-        since_(side.clock_.now()),
+        since_(side.io_.now()),
         used_at_(since_) {
-    read_.reset(event_new(side.base_, fd_.get(), EV_READ | EV_PERSIST, on_event, this));
-    write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
-    event_add(read_.get(), nullptr);
+    watch_->read(true);
   }
 
-  static void on_event(evutil_socket_t, short what, void* self) {
-    auto* c = static_cast<ClientConnection*>(self);
-    if (c->closed_) return;
-    if (what & EV_WRITE) c->side_.touch(*c);
-    if (what & EV_READ) c->read();
+  void on_ready(unsigned what) override {
+    if (closed_) return;
+    if (what & Watch::kWritable) side_.touch(*this);
+    if (what & Watch::kReadable) read();
   }
 
   /// No request is open and no answer is on its way: closing it loses nothing.
@@ -59,10 +53,9 @@
   bool in_command() const { return reader_.in_command() || !held_.empty(); }
 
   void read() {
-    ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), kScratch, 0);
+    ssize_t got = side_.io_.recv(socket_.number(), side_.scratch_.get(), kScratch);
     if (got < 0) {
-      if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return;
-      side_.close(*this);  // reset: the client is gone for certain
+      if (got == Io::kBroken) side_.close(*this);  // reset: the client is gone for certain
       return;
     }
     if (lingering_) {
@@ -74,7 +67,7 @@
       end_of_input();
       return;
     }
-    if (!in_command()) since_ = side_.clock_.now();
+    if (!in_command()) since_ = side_.io_.now();
     std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
     if (held_.empty()) {
       parse(in);
@@ -96,30 +89,38 @@
       Command command;
       auto got = reader_.take(in, command);
       if (got == CommandReader::Got::Nothing) break;
-      since_ = side_.clock_.now();
+      since_ = side_.io_.now();
       switch (got) {
         case CommandReader::Got::Command:
           speak();
-          if (over_limit_)
-            side_.answer(add_slot(), "SERVER_ERROR busy\r\n");
-          else
-            side_.handler_.on_command(add_slot(), std::move(command));
+          take(std::move(command));
           break;
         case CommandReader::Got::Noop:
           speak();
-          side_.answer(add_slot(), "MN\r\n");
+          side_.say(add_slot(), "MN\r\n");
           break;
         case CommandReader::Got::Unknown:
-          side_.reject(add_slot(), "ERROR\r\n");
+          broken_ = true;
+          side_.say(add_slot(), "ERROR\r\n");
           break;
         default:
-          side_.reject(add_slot(), "CLIENT_ERROR bad command\r\n");
+          side_.answer(Owed(add_slot()), {}, Reply(Reply::Kind::Bad));
           break;
       }
     }
     if (broken_ || closed_) in = {};
   }
 
+  void take(Command&& command) {
+    ClientSlot& slot = add_slot();
+    if (over_limit_) {
+      side_.answer(Owed(slot), {}, Reply(Reply::Kind::Busy));
+      return;
+    }
+    RequestId id = side_.handler_.on_command(Owed(slot), std::move(command));
+    if (!slot.done) slot.id = id;
+  }
+
   void parse_held() {
     std::string_view in = held_;
     parse(in);
@@ -139,7 +140,7 @@
   void end_of_input() {
     eof_ = true;
     std::string().swap(held_);
-    event_del(read_.get());
+    watch_->read(false);
     if (vacant()) {
       side_.close(*this);
       return;
@@ -159,8 +160,8 @@
     while (!slots_.empty() && slots_.front().done) {
       std::string& text = slots_.front().text;
       ready_ -= text.size();
-      if (out_.empty())
-        out_ = std::move(text);
+      if (out_.empty() && text.size() > out_.capacity())
+        out_.swap(text);
       else
         out_ += text;
       slots_.pop_front();
@@ -170,24 +171,25 @@
   void flush() {
     advance();
     while (out_at_ < out_.size()) {
-      ssize_t put = ::send(fd_.get(), out_.data() + out_at_, out_.size() - out_at_, MSG_NOSIGNAL);
+      iovec rest{out_.data() + out_at_, out_.size() - out_at_};
+      ssize_t put = side_.io_.send(socket_.number(), &rest, 1);
+      if (put == Io::kBroken) {
+        side_.close(*this);
+        return;
+      }
       if (put < 0) {
-        if (errno == EINTR) continue;
-        if (errno != EAGAIN && errno != EWOULDBLOCK) {
-          side_.close(*this);
-          return;
-        }
-        if (!stalled_since_) stalled_since_ = side_.clock_.now();
-        event_add(write_.get(), nullptr);
+        if (!stalled_since_) stalled_since_ = side_.io_.now();
+        watch_->write_once();
         break;
       }
       out_at_ += static_cast<std::size_t>(put);
       stalled_since_ = 0;
     }
     if (out_at_ == out_.size()) {
-      std::string().swap(out_);
+      out_.clear();
+      if (out_.capacity() > kKeptOut) std::string().swap(out_);
       out_at_ = 0;
-      if (slots_.empty()) used_at_ = side_.clock_.now();
+      if (slots_.empty()) used_at_ = side_.io_.now();
     } else if (out_at_ > kOutLow) {
       out_.erase(0, out_at_);
       out_at_ = 0;
@@ -211,9 +213,9 @@
       return;
     }
     lingering_ = true;
-    since_ = side_.clock_.now();
-    ::shutdown(fd_.get(), SHUT_WR);
-    event_add(read_.get(), nullptr);
+    since_ = side_.io_.now();
+    side_.io_.shut_sending(socket_.number());
+    watch_->read(true);
   }
 
   void update_reading() {
@@ -221,7 +223,7 @@
     bool want = held_.empty() && !broken_ && !full();
     if (want == reading_) return;
     reading_ = want;
-    want ? event_add(read_.get(), nullptr) : event_del(read_.get());
+    watch_->read(want);
   }
 
   /// True when its time is up, whatever it has been doing or not doing.
@@ -242,8 +244,8 @@
   }
 
   ClientSide& side_;
-  Fd fd_;
-  EventPtr read_, write_;
+  Socket socket_;
+  std::unique_ptr<Watch> watch_;
   CommandReader reader_;
   std::deque<ClientSlot> slots_;
   std::string held_;  // bytes read that must wait to be parsed
@@ -266,49 +268,26 @@
   std::size_t index_ = 0;  // in ClientSide::connections_
 };
 
-ClientSide::ClientSide(event_base* base, const Clock& clock, Handler& handler, Limits limits)
-    : base_(base),
-      clock_(clock),
+ClientSide::ClientSide(Io& io, Handler& handler, Limits limits)
+    : io_(io),
       handler_(handler),
       limits_(limits),
+      sweep_alarm_(io.alarm([this] { sweep(); })),
       scratch_(std::make_unique<char[]>(kScratch)) {
-  sweep_event_.reset(event_new(base, -1, EV_PERSIST, on_sweep, this));
-  timeval every = timeval_of(kSweep);
-  event_add(sweep_event_.get(), &every);
+  sweep_alarm_->set(kSweep);
 }
 
 ClientSide::~ClientSide() = default;
 
 bool ClientSide::listen(const sockaddr_in& address, std::string& error) {
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  int on = 1;
-  if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-      ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
-      ::listen(fd.get(), SOMAXCONN) != 0) {
-    error = std::strerror(errno);
-    return false;
-  }
-  listener_ = std::move(fd);
-  accept_event_.reset(
-      event_new(base_, listener_.get(), EV_READ | EV_PERSIST, on_accept, this));
-  event_add(accept_event_.get(), nullptr);
+  listener_ = io_.listen(address, error);
+  if (!listener_) return false;
+  accept_watch_ = io_.watch(listener_.number(), *this);
+  accept_watch_->read(true);
   return true;
 }
 
-std::uint16_t ClientSide::port() const {
-  sockaddr_in address{};
-  socklen_t size = sizeof address;
-  ::getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address), &size);
-  return ntohs(address.sin_port);
-}
-
-void ClientSide::on_accept(evutil_socket_t, short, void* self) {
-  static_cast<ClientSide*>(self)->accept_some(kAcceptMost);
-}
-
-void ClientSide::on_sweep(evutil_socket_t, short, void* self) {
-  static_cast<ClientSide*>(self)->sweep();
-}
+std::uint16_t ClientSide::port() const { return io_.port(listener_.number()); }
 
 void ClientSide::accept_some(int most) {
   while (most-- > 0) {
@@ -318,22 +297,20 @@
     if (connections_.size() >= limits_.connections && !evict() &&
         connections_.size() >= limits_.connections + limits_.spare_connections) {
       accept_paused_ = true;  // level-triggered: without this the loop would spin
-      event_del(accept_event_.get());
+      accept_watch_->read(false);
       return;
     }
-    Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!fd) {
-      if (errno == EINTR || errno == ECONNABORTED) continue;
-      if (errno != EAGAIN && errno != EWOULDBLOCK && !evict()) {
-        accept_paused_ = true;  // out of descriptors or memory: a close or the sweep tries again
-        event_del(accept_event_.get());
+    Socket socket;
+    Io::Accepted accepted = io_.accept(listener_.number(), socket);
+    if (accepted != Io::Accepted::kOne) {
+      if (accepted == Io::Accepted::kNoRoom && !evict()) {
+        accept_paused_ = true;  // a close or the sweep tries again
+        accept_watch_->read(false);
       }
       return;
     }
-    int on = 1;
-    ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     bool over = connections_.size() >= limits_.connections;
-    connections_.push_back(std::make_unique<ClientConnection>(*this, std::move(fd), over));
+    connections_.push_back(std::make_unique<ClientConnection>(*this, std::move(socket), over));
     connections_.back()->index_ = connections_.size() - 1;
     ++silent_;
   }
@@ -375,12 +352,13 @@
 }
 
 void ClientSide::sweep() {
-  Micros now = clock_.now();
+  sweep_alarm_->set(kSweep);
+  Micros now = io_.now();
   for (std::size_t k = connections_.size(); k-- > 0;)  // from the end: closing moves the last one
     if (connections_[k]->overdue(now)) close(*connections_[k]);
   if (accept_paused_ && !draining_) {
     accept_paused_ = false;
-    event_add(accept_event_.get(), nullptr);
+    accept_watch_->read(true);
   }
 }
 
@@ -398,9 +376,8 @@
   c.slots_.clear();
   if (!c.spoken_) --silent_;
   c.account();
-  c.read_.reset();
-  c.write_.reset();
-  c.fd_.reset();
+  c.watch_.reset();
+  c.socket_.reset();
   std::size_t at = c.index_;
   closed_.push_back(std::move(connections_[at]));
   if (at + 1 != connections_.size()) {
@@ -410,22 +387,28 @@
   connections_.pop_back();
   if (accept_paused_ && !draining_) {
     accept_paused_ = false;
-    event_add(accept_event_.get(), nullptr);
+    accept_watch_->read(true);
   }
 }
 
-void ClientSide::answer(ClientSlot& slot, std::string text) {
+void ClientSide::answer(Owed&& owed, const std::string& id, const Reply& reply) {
+  ClientSlot* slot = std::exchange(owed.slot_, nullptr);
+  if (!slot) return;
+  ClientConnection& c = *slot->connection;
+  if (reply.kind == Reply::Kind::Bad) c.broken_ = true;
+  protocol::append_reply(slot->text, id, reply);
+  c.ready_ += slot->text.size();
+  slot->done = true;
+  touch(c);
+}
+
+void ClientSide::say(ClientSlot& slot, std::string_view text) {
+  slot.text = text;
   slot.connection->ready_ += text.size();
-  slot.text = std::move(text);
   slot.done = true;
   touch(*slot.connection);
 }
 
-void ClientSide::reject(ClientSlot& slot, std::string text) {
-  slot.connection->broken_ = true;
-  answer(slot, std::move(text));
-}
-
 void ClientSide::flush() {
   // Flushing may parse held commands, whose answers make a connection dirty again.
   for (std::size_t k = 0; k < dirty_.size(); ++k) {
@@ -440,10 +423,10 @@
 
 void ClientSide::drain() {
   if (draining_ || !listener_) return;
-  if (accept_paused_) event_add(accept_event_.get(), nullptr);
+  if (accept_paused_) accept_watch_->read(true);
   accept_some(4096);
   draining_ = true;
-  accept_event_.reset();
+  accept_watch_.reset();
   listener_.reset();
   // What is already in a socket's buffer was taken: it is read before the connection may close.
   for (std::size_t k = connections_.size(); k-- > 0;) {
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "io.hpp"
-#include "../protocol/meta.hpp"
+#include "protocol/meta.hpp"
 
 namespace violetusher::net {
 
@@ -16,6 +16,8 @@
 using protocol::CommandReader;
 using violetusher::RequestId;
 
+using protocol::Reply;
+
 class ClientConnection;
 
 /// The place of one command among the answers of its connection. The connection owns it; it is
@@ -27,14 +29,36 @@
   bool done = false;  ///< the whole answer is in `text` or written
 };
 
-class ClientSide {
+/// The one final answer that a client waits for. Whoever holds it may give it, once: giving takes
+/// it away (ClientSide::answer), and it can't be copied. One that is empty was given, or nobody is
+/// left to get it.
+class Owed {
+ public:
+  Owed() = default;
+  explicit Owed(ClientSlot& slot) : slot_(&slot) {}
+  Owed(Owed&& other) noexcept : slot_(std::exchange(other.slot_, nullptr)) {}
+  Owed& operator=(Owed&& other) noexcept {
+    slot_ = std::exchange(other.slot_, nullptr);
+    return *this;
+  }
+  explicit operator bool() const { return slot_ != nullptr; }
+  /// The client is gone.
+  void lapse() { slot_ = nullptr; }
+
+ private:
+  friend class ClientSide;
+  ClientSlot* slot_ = nullptr;
+};
+
+class ClientSide final : Watch::Target {
  public:
   /// Told of what clients do. Calls come from within the event loop.
   class Handler {
    public:
     virtual ~Handler() = default;
-    /// A request was taken. The handler answers or rejects the slot once.
-    virtual void on_command(ClientSlot& slot, Command&& command) = 0;
+    /// A request was taken. The number that the handler gives it comes back with on_left() and
+    /// on_gone(); 0 where it is answered already.
+    virtual RequestId on_command(Owed owed, Command&& command) = 0;
     /// The client sends nothing more; whether it still reads can't be told from that.
     virtual void on_left(RequestId id) = 0;
     /// The connection is closed and the slot with it.
@@ -46,19 +70,18 @@
     std::size_t buffer_bytes = 8u << 20;  ///< held for all clients together, in and out
   };
 
-  ClientSide(event_base* base, const Clock& clock, Handler& handler, Limits limits);
-  ~ClientSide();
+  ClientSide(Io& io, Handler& handler, Limits limits);
+  ~ClientSide() override;
 
   /// Listens on `address`; false with the reason in `error`.
   bool listen(const sockaddr_in& address, std::string& error);
   /// The port that listen() got; for tests that ask for port 0.
   std::uint16_t port() const;
 
-  /// Gives the whole final answer.
-  void answer(ClientSlot& slot, std::string text);
-  /// Answers a command that can't be used. The connection closes after it: who sends one may send
-  /// any number of them at full speed, and a new connection each time slows it down.
-  void reject(ClientSlot& slot, std::string text);
+  /// Gives the whole final answer to the request whose client calls it `id`. One that says Bad
+  /// closes the connection after it: who sends what can't be used may send any number at full
+  /// speed, and a new connection each time slows it down.
+  void answer(Owed&& owed, const std::string& id, const Reply& reply);
 
   /// Writes what answer() and the others have left. Call once an iteration of the loop.
   void flush();
@@ -72,8 +95,7 @@
 
  private:
   friend class ClientConnection;
-  static void on_accept(evutil_socket_t, short, void* self);
-  static void on_sweep(evutil_socket_t, short, void* self);
+  void on_ready(unsigned) override { accept_some(kAcceptMost); }
   void accept_some(int most);
   bool evict();
   bool evict_silent();
@@ -81,13 +103,17 @@
   void sweep();
   void touch(ClientConnection& connection);
   void close(ClientConnection& connection);
+  void say(ClientSlot& slot, std::string_view text);
+
+  /// Accepted in one go, so that those that are open are served in between.
+  static constexpr int kAcceptMost = 16;
 
-  event_base* base_;
-  const Clock& clock_;
+  Io& io_;
   Handler& handler_;
   Limits limits_;
-  Fd listener_;
-  EventPtr accept_event_, sweep_event_;
+  Socket listener_;
+  std::unique_ptr<Watch> accept_watch_;
+  std::unique_ptr<Alarm> sweep_alarm_;
   bool accept_paused_ = false;
   bool draining_ = false;
   std::vector<std::unique_ptr<ClientConnection>> connections_;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -1,9 +1,6 @@
 // Discovery over HTTP: a watch that renews itself, and single fetches.
 #pragma once
 
-#include <event2/http.h>
-
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,36 +10,6 @@
 
 namespace violetusher::net {
 
-/// One HTTP call at a time.
-class DiscoveryCall {
- public:
-  /// Gets the list, or nothing where the call failed in any way.
-  using Done = std::function<void(std::optional<HostList>)>;
-  DiscoveryCall(event_base* base, const std::string& address, Done done);
-  ~DiscoveryCall();
-  /// Where later calls go; one that is under way is dropped.
-  void set_address(const std::string& address);
-  /// Starts a call; one that is under way is dropped.
-  void start(const std::string& path, Micros limit);
-  void stop();
-
- private:
-  static void on_answer(evhttp_request* request, void* self);
-  static void on_ready(evutil_socket_t, short, void* self);
-
-  struct ConnectionFree {
-    void operator()(evhttp_connection* c) const { evhttp_connection_free(c); }
-  };
-  event_base* base_;
-  std::string host_;
-  std::uint16_t port_ = 0;
-  std::string authority_;
-  Done done_;
-  std::unique_ptr<evhttp_connection, ConnectionFree> connection_;
-  EventPtr ready_;  // the result is handed on outside of evhttp's own call
-  std::optional<HostList> result_;
-};
-
 class Discovery {
  public:
   class Handler {
@@ -53,7 +20,7 @@
   };
   /// `insist`: watch from the start and begin again after failures without being asked to, for
   /// sites where lists are pushed.
-  Discovery(event_base* base, const std::string& address, const std::string& version, bool insist,
+  Discovery(Io& io, const std::string& address, const std::string& version, bool insist,
             Handler& handler);
   /// Begins a watch, anew where one is under way.
   void watch();
@@ -66,16 +33,17 @@
 
  private:
   void call();
-  void take(std::optional<HostList> list);
-  static void on_again(evutil_socket_t, short, void* self);
+  void watched(std::optional<HostList> list);
+  void fetched(std::optional<HostList> list);
 
   Handler& handler_;
+  std::string address_;
   bool insist_;
   std::string version_;
   bool renewing_ = false;
   bool fetch_overlapped_ = false;
-  DiscoveryCall watch_, fetch_;
-  EventPtr again_;
+  std::unique_ptr<HttpGet> watch_, fetch_;
+  std::unique_ptr<Alarm> again_;
 };
 
 }  // namespace violetusher::net
--- a/src/net/io.hpp
+++ b/src/net/io.hpp
@@ -1,12 +1,15 @@
-// Owners of file descriptors and libevent objects, and the clock.
+// The one seam through which time, timers and sockets reach the router. Behind it stands the system
+// (system_io.hpp), or a simulated network on virtual time; nothing else in src/net calls a clock or
+// a socket function (tests/net/seam_test looks). Randomness comes in as the configuration's seed.
+//
+// An Io and all that it gives belong to one thread. Callbacks come from within run_once() alone.
 #pragma once
 
-#include <event2/event.h>
 #include <netinet/in.h>
-#include <sys/time.h>
-#include <unistd.h>
+#include <sys/uio.h>
 
-#include <chrono>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,61 +24,112 @@
 constexpr Micros kMillisecond = 1000;
 constexpr Micros kSecond = 1'000'000;
 
-/// Owns a file descriptor.
-class Fd {
+class Io;
+
+/// Owns one socket of an Io.
+class Socket {
  public:
-  explicit Fd(int fd = -1) : fd_(fd) {}
-  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
-  Fd& operator=(Fd&& other) noexcept {
-    if (this != &other) reset(std::exchange(other.fd_, -1));
+  Socket() = default;
+  Socket(Io& io, int number) : io_(&io), number_(number) {}
+  Socket(Socket&& other) noexcept : io_(other.io_), number_(std::exchange(other.number_, -1)) {}
+  Socket& operator=(Socket&& other) noexcept {
+    if (this != &other) {
+      reset();
+      io_ = other.io_;
+      number_ = std::exchange(other.number_, -1);
+    }
     return *this;
   }
-  ~Fd() { reset(); }
-  int get() const { return fd_; }
-  explicit operator bool() const { return fd_ >= 0; }
-  void reset(int fd = -1) {
-    if (fd_ >= 0) ::close(fd_);
-    fd_ = fd;
-  }
+  ~Socket() { reset(); }
+  explicit operator bool() const { return number_ >= 0; }
+  int number() const { return number_; }
+  void reset();
 
  private:
-  int fd_;
+  Io* io_ = nullptr;
+  int number_ = -1;
 };
 
-struct EventFree {
-  void operator()(event* e) const { event_free(e); }
-  void operator()(event_base* b) const { event_base_free(b); }
+/// Interest in what can be done with one socket. Must go before the socket.
+class Watch {
+ public:
+  enum Ready : unsigned { kReadable = 1, kWritable = 2, kLimit = 4 };
+  class Target {
+   public:
+    virtual ~Target() = default;
+    virtual void on_ready(unsigned what) = 0;
+  };
+  virtual ~Watch() = default;
+  /// While on, the target is called as long as there is something to read, an end included.
+  virtual void read(bool on) = 0;
+  /// The target is called once, when the socket can be written; with a `limit` also, and only, when
+  /// that has passed first.
+  virtual void write_once(Micros limit = 0) = 0;
 };
-using EventPtr = std::unique_ptr<event, EventFree>;
-using EventBasePtr = std::unique_ptr<event_base, EventFree>;
 
-inline timeval timeval_of(Micros span) {
-  return {static_cast<time_t>(span / kSecond), static_cast<suseconds_t>(span % kSecond)};
-}
+/// Rings once after each set().
+class Alarm {
+ public:
+  virtual ~Alarm() = default;
+  /// Replaces what was set before.
+  virtual void set(Micros after) = 0;
+  virtual void clear() = 0;
+};
 
-/// Monotonic time whose origin is Unix time at the start: it never steps, and a `born_ms` from
-/// discovery is a time on it without conversion.
-class Clock {
+/// One HTTP GET at a time.
+class HttpGet {
  public:
-  Clock() : origin_(unix_now() - monotonic_now()) {}
-  Micros now() const { return origin_ + monotonic_now(); }
+  /// Gets the body of a 200, or nothing where the call failed in any way. Not called from start().
+  using Done = std::function<void(std::optional<std::string> body)>;
+  virtual ~HttpGet() = default;
+  /// Begins a call; one that is under way is dropped.
+  virtual void start(const std::string& address, const std::string& path, Micros limit) = 0;
+  virtual void stop() = 0;
+};
 
- private:
-  static Micros monotonic_now() {
-    return std::chrono::duration_cast<std::chrono::microseconds>(
-               std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-  }
-  static Micros unix_now() {
-    return std::chrono::duration_cast<std::chrono::microseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-  }
-  Micros origin_;
+class Io {
+ public:
+  /// What recv() and send() return besides a count.
+  static constexpr ssize_t kAgain = -1, kBroken = -2;
+  enum class Accepted { kNone, kOne, kNoRoom };
+
+  virtual ~Io() = default;
+  /// Monotonic, with Unix time as its origin; see Clock.
+  virtual Micros now() const = 0;
+
+  /// Listens; an empty Socket with the reason in `error` where it can't.
+  virtual Socket listen(const sockaddr_in& address, std::string& error) = 0;
+  virtual std::uint16_t port(int listener) const = 0;
+  /// The next connection that waits. kNoRoom: out of descriptors or memory.
+  virtual Accepted accept(int listener, Socket& socket) = 0;
+  /// Begins to connect; the end shows as writable. An empty Socket where that can't even begin.
+  virtual Socket connect(const sockaddr_in& address) = 0;
+  /// Whether connect() has come to a good end; asked once it is writable.
+  virtual bool connected(int socket) = 0;
+  /// Bytes read, 0 at the end of the stream, kAgain or kBroken.
+  virtual ssize_t recv(int socket, char* to, std::size_t size) = 0;
+  /// Bytes written, kAgain or kBroken.
+  virtual ssize_t send(int socket, const iovec* parts, std::size_t count) = 0;
+  /// True where recv() would return anything but kAgain: bytes, an end or an error.
+  virtual bool has_input(int socket) = 0;
+  /// Ends the sending side.
+  virtual void shut_sending(int socket) = 0;
+  virtual void close(int socket) = 0;
+
+  virtual std::unique_ptr<Watch> watch(int socket, Watch::Target& target) = 0;
+  virtual std::unique_ptr<Alarm> alarm(std::function<void()> rings) = 0;
+  virtual std::unique_ptr<HttpGet> http(HttpGet::Done done) = 0;
+
+  /// Waits for something to happen and calls whom it concerns.
+  virtual void run_once() = 0;
 };
 
-/// The address of "1.2.3.4:5", or nothing where the text is none. Port 0 stands for any free one and
-/// is an address to listen on only.
+inline void Socket::reset() {
+  if (number_ >= 0) io_->close(std::exchange(number_, -1));
+}
+
+/// The address of "1.2.3.4:5", or nothing where the text is none. Port 0 stands for any free one
+/// and is an address to listen on only.
 std::optional<sockaddr_in> parse_address(const std::string& text, bool to_listen = false);
 
 }  // namespace violetusher::net
--- a/src/net/operator_file.cpp
+++ b/src/net/operator_file.cpp
@@ -9,7 +9,7 @@
 #include <cstring>
 #include <filesystem>
 
-#include "io.hpp"
+#include "system_io.hpp"
 
 namespace violetusher::net {
 namespace {
@@ -18,7 +18,8 @@
 namespace config = core::config;
 
 config::Loaded load(const std::string& from, const std::string& name) {
-  fs::path path = fs::path(name).is_absolute() ? fs::path(name) : fs::path(from).parent_path() / name;
+  fs::path path =
+      fs::path(name).is_absolute() ? fs::path(name) : fs::path(from).parent_path() / name;
   config::Loaded loaded;
   loaded.name = path.lexically_normal();
   loaded.error = read_plain_file(loaded.name, loaded.text);
@@ -34,7 +35,8 @@
   if (!fd || ::fstat(fd.get(), &info) != 0) return std::strerror(errno);
   if (S_ISDIR(info.st_mode)) return "it is a folder";
   if (!S_ISREG(info.st_mode)) return "it is no ordinary file";
-  if (static_cast<std::size_t>(info.st_size) > config::kMostBytes) return "it is larger than 16 MiB";
+  if (static_cast<std::size_t>(info.st_size) > config::kMostBytes)
+    return "it is larger than 16 MiB";
   text.resize(static_cast<std::size_t>(info.st_size));
   std::size_t have = 0;
   while (have < text.size()) {
@@ -69,21 +71,26 @@
   // What is set and would have no effect is told, not ignored.
   for (const auto& [name, listener] : m.listeners)
     if (name != "main")
-      throw ConfigError(path + ": listener '" + name + "': only 'main' is served, at the address of the configuration");
+      throw ConfigError(path + ": listener '" + name +
+                        "': only 'main' is served, at the address of the configuration");
   if (!settings) return std::move(compiled.model);
   const auto& classes = settings->settings.classes;
   for (const auto& [name, c] : m.classes) {
-    auto it = std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == name; });
-    if (it == classes.end()) throw ConfigError(path + ": class '" + name + "' is none of the settings'");
+    auto it =
+        std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == name; });
+    if (it == classes.end())
+      throw ConfigError(path + ": class '" + name + "' is none of the settings'");
     if (c.keyed != (it->effect == violetusher::Effect::Keyed))
       throw ConfigError(path + ": class '" + name + "': 'keyed' differs from the settings");
     if (c.attempts > settings->settings.max_attempts)
-      throw ConfigError(path + ": class '" + name + "' has more attempts than the settings allow (" +
+      throw ConfigError(path + ": class '" + name +
+                        "' has more attempts than the settings allow (" +
                         std::to_string(settings->settings.max_attempts) + ")");
   }
   const auto& tenants = settings->settings.tenants;
   for (const auto& [name, t] : m.tenants)
-    if (!tenants.empty() && std::none_of(tenants.begin(), tenants.end(), [&](const auto& k) { return k.name == name; }))
+    if (!tenants.empty() &&
+        std::none_of(tenants.begin(), tenants.end(), [&](const auto& k) { return k.name == name; }))
       throw ConfigError(path + ": tenant '" + name + "' is none of the settings'");
   return std::move(compiled.model);
 }
--- /dev/null
+++ b/src/net/pool_set.cpp
@@ -0,0 +1,257 @@
+#include "pool_set.hpp"
+
+#include <algorithm>
+
+namespace violetusher::net {
+namespace {
+
+using violetusher::Health;
+using violetusher::ListScope;
+using violetusher::Server;
+
+// What a module costs at least with its tables; see docs/design/request-core.md.
+constexpr std::size_t kModuleBytes = 128u << 10;
+constexpr std::size_t kModulePart = 4;  // of the memory that the router may use
+constexpr Micros kIdle = 60 * kSecond;  // a module without requests is given back after this
+constexpr Micros kLook = kSecond;
+
+std::vector<Server> servers_of(const HostList& list) {
+  std::vector<Server> servers;
+  servers.reserve(list.hosts.size());
+  for (const Host& host : list.hosts) servers.push_back(host.server);
+  return servers;
+}
+
+}  // namespace
+
+PoolSet::PoolSet(const Config& config, Handler& handler, Micros now)
+    : config_(config),
+      handler_(handler),
+      most_(std::max<std::size_t>(4, config.memory_bytes / kModulePart / kModuleBytes)) {
+  make(kWhole, {}, {}, now);
+  handler_.on_module_list(kWhole, ListScope::Cached, servers_of(config.known));
+}
+
+/// Each module draws from a seed of its own; that of the whole list from the router's.
+void PoolSet::make(std::uint32_t number, const std::string& name,
+                   const core::config::Selection& selection, Micros now) {
+  auto module = std::make_unique<Module>();
+  module->pool = name;
+  module->selection = selection;
+  module->used_at = now;
+  try {
+    module->balancer = std::make_unique<violetusher::Balancer>(
+        config_.settings, config_.seed + number * 0x9e3779b97f4a7c15ull, now);
+  } catch (const std::invalid_argument& e) {
+    throw ConfigError(std::string("settings: ") + e.what());
+  }
+  modules_[number] = std::move(module);
+  handler_.on_module_start(number);
+}
+
+const core::config::Pool* PoolSet::pool(const std::string& name) const {
+  if (!traffic_) return nullptr;
+  auto it = traffic_->model().pools.find(name);
+  return it == traffic_->model().pools.end() ? nullptr : &it->second;
+}
+
+void PoolSet::operate(std::shared_ptr<const core::Traffic> traffic) {
+  if (!traffic_) hosts_ = config_.known;
+  traffic_ = std::move(traffic);
+  addresses_.clear();
+  for (const auto& [name, pool] : traffic_->model().pools)
+    addresses_.insert(pool.servers.begin(), pool.servers.end());
+  for (auto it = by_pool_.begin(); it != by_pool_.end();) {
+    Module& module = *modules_.at(it->second);
+    const core::config::Pool* now = pool(it->first);
+    if (now && module.selection == *now) {
+      ++it;
+      continue;
+    }
+    module.leaving = gone_ = true;
+    it = by_pool_.erase(it);
+  }
+}
+
+std::optional<std::uint32_t> PoolSet::enter(const std::string& name, Micros now) {
+  auto it = by_pool_.find(name);
+  if (it == by_pool_.end()) {
+    const core::config::Pool* wanted = pool(name);
+    if (!wanted) return std::nullopt;
+    if (modules_.size() >= most_) {
+      if (!give_back_idle(now, 0)) return std::nullopt;
+      erase_gone();
+    }
+    std::uint32_t number = next_++;
+    make(number, name, *wanted, now);
+    it = by_pool_.emplace(name, number).first;
+    Module& module = *modules_.at(number);
+    if (wanted->servers.empty()) {
+      tell(number, module, ListScope::Full, servers_of(hosts_));
+    } else {
+      std::vector<Server> members;
+      for (const std::string& address : wanted->servers) {
+        Server server;
+        server.id = address;
+        server.zone = config_.settings.zone;
+        members.push_back(server);
+        module.members[address] = Health::Ready;
+      }
+      handler_.on_module_list(number, ListScope::Full, std::move(members));
+    }
+  }
+  Module& module = *modules_.at(it->second);
+  ++module.open;
+  module.used_at = now;
+  return it->second;
+}
+
+std::uint32_t PoolSet::enter_whole() {
+  ++modules_.at(kWhole)->open;
+  return kWhole;
+}
+
+void PoolSet::leave(std::uint32_t number, Micros now) {
+  Module* module = find(number);
+  if (!module) return;
+  module->used_at = now;
+  if (--module->open == 0 && module->leaving) gone_ = true;
+}
+
+PoolSet::Module* PoolSet::find(std::uint32_t number) {
+  auto it = modules_.find(number);
+  return it == modules_.end() ? nullptr : it->second.get();
+}
+
+/// What of a list concerns a pool, told to its module. What left concerns all that had it.
+void PoolSet::tell(std::uint32_t number, Module& module, ListScope scope,
+                   const std::vector<Server>& servers) {
+  if (!module.selection.servers.empty()) return;
+  if (scope == ListScope::Full) module.members.clear();
+  std::vector<Server> mine;
+  for (const Server& server : servers) {
+    bool gone = server.health == Health::Gone;
+    if (gone ? module.members.count(server.id) == 0 : !core::selected(module.selection, server))
+      continue;
+    if (gone)
+      module.members.erase(server.id);
+    else
+      module.members[server.id] = server.health;
+    mine.push_back(server);
+  }
+  handler_.on_module_list(number, scope, std::move(mine));
+}
+
+HostList PoolSet::take(HostList&& list) {
+  ListScope scope = list.whole ? ListScope::Full : ListScope::Delta;
+  std::vector<Server> servers = servers_of(list);
+  for (auto& [number, module] : modules_)
+    if (number != kWhole) tell(number, *module, scope, servers);
+  handler_.on_module_list(kWhole, scope, std::move(servers));
+  if (!traffic_) return std::move(list);
+  HostList for_links = with_addresses(list);
+  keep(std::move(list));
+  return for_links;
+}
+
+void PoolSet::lists_failed() {
+  for (const auto& [number, module] : modules_)
+    handler_.on_module_list(number, ListScope::Failed, {});
+}
+
+/// For modules that are made later.
+void PoolSet::keep(HostList&& list) {
+  if (list.whole) {
+    hosts_ = std::move(list);
+    return;
+  }
+  hosts_.version = list.version;
+  for (Host& host : list.hosts) {
+    auto old = std::find_if(hosts_.hosts.begin(), hosts_.hosts.end(),
+                            [&](const Host& h) { return h.server.id == host.server.id; });
+    bool gone = host.server.health == Health::Gone;
+    if (old == hosts_.hosts.end()) {
+      if (!gone) hosts_.hosts.push_back(std::move(host));
+    } else if (gone) {
+      hosts_.hosts.erase(old);
+    } else {
+      *old = std::move(host);
+    }
+  }
+}
+
+HostList PoolSet::with_addresses(HostList list) const {
+  if (!list.whole) return list;
+  std::unordered_set<std::string> there;
+  for (const Host& host : list.hosts) there.insert(host.server.id);
+  auto add = [&](const std::string& address) {
+    if (!there.insert(address).second) return;
+    Host host;
+    host.server.id = host.dial = address;
+    list.hosts.push_back(host);
+  };
+  for (const std::string& address : addresses_) add(address);
+  for (const auto& [number, module] : modules_)  // those that are leaving still need theirs
+    for (const std::string& address : module->selection.servers) add(address);
+  return list;
+}
+
+HostList PoolSet::whole_list() const {
+  HostList list = hosts_;
+  list.whole = true;
+  return with_addresses(std::move(list));
+}
+
+/// Gives back the module that has been without requests for longest, and for `idle_for` at least.
+bool PoolSet::give_back_idle(Micros now, Micros idle_for) {
+  auto oldest = modules_.end();
+  for (auto it = modules_.begin(); it != modules_.end(); ++it)
+    if (it->first != kWhole && it->second->open == 0 && !it->second->leaving &&
+        now - it->second->used_at >= idle_for &&
+        (oldest == modules_.end() || it->second->used_at < oldest->second->used_at))
+      oldest = it;
+  if (oldest == modules_.end()) return false;
+  by_pool_.erase(oldest->second->pool);
+  oldest->second->leaving = gone_ = true;
+  return true;
+}
+
+void PoolSet::free_gone(Micros now) {
+  if (now - looked_at_ >= kLook && modules_.size() > 1) {
+    looked_at_ = now;
+    while (give_back_idle(now, kIdle)) {
+    }
+  }
+  if (gone_) erase_gone();
+}
+
+void PoolSet::erase_gone() {
+  gone_ = false;
+  for (auto it = modules_.begin(); it != modules_.end();)
+    it = it->second->leaving && it->second->open == 0 ? modules_.erase(it) : std::next(it);
+}
+
+bool PoolSet::has_live(const std::string& name) const {
+  if (auto it = by_pool_.find(name); it != by_pool_.end()) {
+    const auto& members = modules_.at(it->second)->members;
+    return std::any_of(members.begin(), members.end(),
+                       [](const auto& m) { return m.second == Health::Ready; });
+  }
+  const core::config::Pool* wanted = pool(name);
+  if (!wanted || !wanted->servers.empty()) return wanted != nullptr;
+  return std::any_of(hosts_.hosts.begin(), hosts_.hosts.end(), [&](const Host& host) {
+    return host.server.health == Health::Ready && core::selected(*wanted, host.server);
+  });
+}
+
+/// Price caches of the discovery list drop one another's repeats where the class's group is all of
+/// them; fixed addresses are not known to belong to it.
+bool PoolSet::shares_repeats(const std::string& name) const {
+  const core::config::Pool* wanted = pool(name);
+  if (!wanted || !wanted->servers.empty()) return false;
+  for (const auto& c : config_.settings.classes)
+    if (c.effect == violetusher::Effect::Keyed && c.group != violetusher::Group::All) return false;
+  return true;
+}
+
+}  // namespace violetusher::net
--- /dev/null
+++ b/src/net/request_core.hpp
@@ -0,0 +1,82 @@
+// The life of a request: taken, routed and admitted, told to its module, attempted as the module
+// says, answered once, and forgotten when nothing of it is left. The one owner of the table.
+#pragma once
+
+#include <functional>
+
+#include "client_side.hpp"
+#include "core/flight/ring.hpp"
+#include "module_feed.hpp"
+#include "pool_set.hpp"
+#include "request_table.hpp"
+#include "server_side.hpp"
+#include "timers.hpp"
+
+namespace violetusher::net {
+
+class RequestCore final : public ClientSide::Handler, public ServerSide::Handler {
+ public:
+  /// What it works with. All outlive it; the two sides may be made after it.
+  struct Parts {
+    Io& io;
+    const Config& config;
+    PoolSet& pools;
+    Timers& timers;
+    ModuleFeed& feed;
+    ClientSide& clients;
+    ServerSide& servers;
+    core::flight::Recorder& recorder;
+  };
+  RequestCore(const Parts& parts, RequestTable::Bounds bounds);
+
+  /// What an operator file makes of requests from now on; those that are open keep theirs.
+  void operate(std::shared_ptr<core::Traffic> traffic) { traffic_ = std::move(traffic); }
+  /// Called where a rule is close to being broken, with what it is about.
+  void on_alert(std::function<void(const char* what)> alert) { alert_ = std::move(alert); }
+
+  // What a module decides.
+  void send(const violetusher::Send& a);
+  void refuse(const violetusher::Refuse& a);
+  void fail(const violetusher::Fail& a);
+  void cancel(const violetusher::Cancel& a);
+
+  /// What the module is told of a request; false where that has become pointless.
+  bool describe(RequestId id, violetusher::Request& request);
+  /// An event of the request has been told to its module, or was dropped with it.
+  void told(RequestId id);
+  /// Whether the request has its answer, or is forgotten.
+  bool finished(RequestId id);
+
+  void expire(const Timers::Due& due);
+  /// The last moment before the end: nobody waits for an answer that will never come.
+  void fail_all();
+
+  const RequestTable& table() const { return table_; }
+
+  // ClientSide::Handler
+  RequestId on_command(Owed owed, Command&& command) override;
+  void on_left(RequestId id) override;
+  void on_gone(RequestId id) override;
+  // ServerSide::Handler
+  void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) override;
+
+ private:
+  using Why = core::flight::Why;
+  RequestId turn_away(RequestId id, Owed&& owed, const Command& command, const Reply& reply,
+                      Why why);
+  void give(OpenRequest& open, const Reply& reply, Why why);
+  bool within_budget(OpenRequest& open);
+  void tell_outcome(OpenRequest& open, int attempt, Status status, Answer* answer);
+  void tell_gone(OpenRequest& open);
+  void forget_if_done(OpenRequest& open);
+  void note(core::flight::Kind kind, RequestId id, int attempt = -1, std::uint32_t number = 0,
+            std::int64_t value = 0, std::string_view text = {}, Why why = Why::kNone);
+  void alert(const char* what);
+
+  Parts p_;
+  RequestTable table_;
+  std::shared_ptr<core::Traffic> traffic_;
+  std::function<void(const char*)> alert_;
+};
+
+}  // namespace violetusher::net
--- /dev/null
+++ b/src/net/request_table.hpp
@@ -0,0 +1,82 @@
+// The one table of open requests: who they are, what they hold, and the one final answer each.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "client_side.hpp"
+#include "core/route/traffic.hpp"
+#include "timers.hpp"
+
+namespace violetusher::net {
+
+/// One attempt of a request at a server.
+struct Attempt {
+  std::string server;
+  Micros sent = 0;
+  bool out = true;  ///< its outcome has not been told to the module
+  bool may_have_run = false;
+  Timers::Handle patience = 0;
+};
+
+struct OpenRequest {
+  explicit OpenRequest(RequestId number) : id(number) {}
+  RequestId id;
+  Command command;
+  Owed owed;  ///< empty once the final answer is given, or nobody is left to get one
+  Micros deadline = 0;
+  int untold = 0;  ///< events of it on their way to the module
+  std::vector<Attempt> attempts;
+  std::uint32_t module = 0;                ///< whose it is; see PoolSet
+  std::shared_ptr<core::Traffic> traffic;  ///< none where no operator file is in use
+  core::Traffic::Ticket ticket;
+  Timers::Handle expiry = 0;
+
+  bool answered() const { return !owed; }
+  /// Nothing is owed, told or out any more.
+  bool done() const;
+  bool any_out() const;
+  Attempt& attempt(int number) { return attempts[static_cast<std::size_t>(number)]; }
+};
+
+class RequestTable {
+ public:
+  struct Bounds {
+    std::size_t requests = 0;
+    std::size_t bytes = 0;  ///< of their commands
+  };
+  explicit RequestTable(Bounds bounds) : bounds_(bounds) {}
+
+  bool full() const { return open_.size() >= bounds_.requests; }
+  bool heavy() const { return bytes_ >= bounds_.bytes; }
+  /// Whether a request is open that its client calls `id`: two would have answers that look alike.
+  bool knows(const std::string& id) const { return ids_.count(id) > 0; }
+  /// Enters a request, whose number is `id`. Its client's own id must not be known.
+  OpenRequest& enter(RequestId id, Command&& command);
+  /// None where it is over.
+  OpenRequest* find(RequestId id);
+  void erase(OpenRequest& open);
+  /// A number that no request of this process has had; never 0.
+  RequestId next_id() { return next_id_++; }
+
+  std::size_t size() const { return open_.size(); }
+  std::size_t bytes() const { return bytes_; }
+  std::size_t most() const { return bounds_.requests; }
+  template <typename F>
+  void each(F&& f) {
+    for (auto& [id, open] : open_) f(*open);
+  }
+
+ private:
+  Bounds bounds_;
+  std::unordered_map<RequestId, std::unique_ptr<OpenRequest>> open_;
+  std::unordered_set<std::string_view> ids_;  // into the commands of open_
+  std::size_t bytes_ = 0;
+  RequestId next_id_ = 1;
+};
+
+}  // namespace violetusher::net
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -1,13 +1,12 @@
 #include "server_side.hpp"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <sys/uio.h>
-
 #include <algorithm>
-#include <cerrno>
 
 namespace violetusher::net {
+
+using core::flight::Kind;
+using core::flight::Why;
+
 namespace {
 
 constexpr std::size_t kScratch = 16u << 10;
@@ -22,7 +21,8 @@
 // where a path loses packets and repeats them later than this.
 constexpr Micros kPartTime = 60 * kMillisecond;
 // What a server does right behind an answer, be it a close, a second copy or noise, shows within
-// this. Until then the connection is used for another request only where there is no other idle one.
+// this. Until then the connection is used for another request only where there is no other idle
+// one.
 constexpr Micros kSettleTime = 3 * kMillisecond;
 // No dial to a server that just refused one while it has connections that work.
 constexpr Micros kDialPause = kSecond / 5;
@@ -41,7 +41,7 @@
   std::vector<std::unique_ptr<ServerConnection>> connections;
 };
 
-class ServerConnection {
+class ServerConnection final : Watch::Target {
  public:
   struct Entry {
     RequestId id;
@@ -54,25 +54,23 @@
     std::size_t size = bytes.size();
   };
 
-  ServerConnection(ServerSide& side, ServerPool& pool, Fd fd)
+  ServerConnection(ServerSide& side, ServerPool& pool, Socket socket, std::uint32_t number)
       : side_(side),
         pool_(pool),
-        fd_(std::move(fd)),
+        number_(number),
+        socket_(std::move(socket)),
+        watch_(side.io_.watch(socket_.number(), *this)),
         reader_(side.fields_),
-        used_at_(side.clock_.now()) {
-    read_.reset(event_new(side.base_, fd_.get(), EV_READ | EV_PERSIST, on_event, this));
-    write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
-  }
+        used_at_(side.io_.now()) {}
 
-  static void on_event(evutil_socket_t, short what, void* self) {
-    auto* c = static_cast<ServerConnection*>(self);
-    if (c->closed_) return;
-    if (c->connecting_) {
-      c->connected(what);
+  void on_ready(unsigned what) override {
+    if (closed_) return;
+    if (connecting_) {
+      connected(what);
       return;
     }
-    if (what & EV_WRITE) c->side_.touch(*c);
-    if (what & EV_READ) c->read();
+    if (what & Watch::kWritable) side_.touch(*this);
+    if (what & Watch::kReadable) read();
   }
 
   bool idle() const { return !connecting_ && entries_.empty(); }
@@ -81,21 +79,18 @@
     return std::none_of(entries_.begin(), entries_.end(), [](const Entry& e) { return e.live; });
   }
 
-  void await_connect() {
-    timeval limit = timeval_of(side_.limits_.dial_timeout);
-    event_add(write_.get(), &limit);
-  }
+  void await_connect() { watch_->write_once(side_.limits_.dial_timeout); }
 
-  void connected(short what) {
-    int error = 0;
-    socklen_t size = sizeof error;
-    ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
-    if ((what & EV_TIMEOUT) || error != 0) {
+  void connected(unsigned what) {
+    bool up = !(what & Watch::kLimit) && side_.io_.connected(socket_.number());
+    side_.recorder_.note(side_.io_.now(), Kind::kDialEnd, 0, -1, number_, 0, pool_.id,
+                         up ? Why::kNone : Why::kDial);
+    if (!up) {
       side_.failed_dial(*this);
       return;
     }
     connecting_ = false;
-    event_add(read_.get(), nullptr);
+    watch_->read(true);
     side_.touch(*this);
   }
 
@@ -103,23 +98,19 @@
     if (connecting_) return;
     while (sent_ < entries_.size()) {
       iovec parts[64];
-      int count = 0;
+      std::size_t count = 0;
       std::size_t skip = partial_;
       for (std::size_t k = sent_; k < entries_.size() && count < 64; ++k) {
         std::string& bytes = entries_[k].bytes;
         parts[count++] = {bytes.data() + skip, bytes.size() - skip};
         skip = 0;
       }
-      msghdr message{};
-      message.msg_iov = parts;
-      message.msg_iovlen = static_cast<std::size_t>(count);
-      ssize_t put = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
+      ssize_t put = side_.io_.send(socket_.number(), parts, count);
+      if (put == Io::kAgain) {
+        watch_->write_once();
+        return;
+      }
       if (put < 0) {
-        if (errno == EINTR) continue;
-        if (errno == EAGAIN || errno == EWOULDBLOCK) {
-          event_add(write_.get(), nullptr);
-          return;
-        }
         side_.close(*this);
         return;
       }
@@ -129,19 +120,21 @@
         partial_ -= e.size;
         std::string().swap(e.bytes);
         ++sent_;
+        if (side_.recorder_.on())
+          side_.recorder_.note(side_.io_.now(), Kind::kWritten, e.id, e.attempt, number_);
       }
     }
   }
 
   void read() {
-    ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), kScratch, 0);
-    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+    ssize_t got = side_.io_.recv(socket_.number(), side_.scratch_.get(), kScratch);
+    if (got == Io::kAgain) return;
     if (got <= 0) {
       ended_by_peer_ = true;
       side_.close(*this);
       return;
     }
-    read_at_ = used_at_ = side_.clock_.now();
+    read_at_ = used_at_ = side_.io_.now();
     std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
     Answer answer;
     while (!closed_) {
@@ -191,16 +184,13 @@
   }
 
   /// True when the peer has ended or broken the connection, or said something unasked.
-  bool ended() const {
-    char byte;
-    ssize_t got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-  }
+  bool ended() const { return side_.io_.has_input(socket_.number()); }
 
   ServerSide& side_;
   ServerPool& pool_;
-  Fd fd_;
-  EventPtr read_, write_;
+  std::uint32_t number_;
+  Socket socket_;
+  std::unique_ptr<Watch> watch_;
   AnswerReader reader_;
   std::deque<Entry> entries_;  // in the order of their answers
   std::size_t sent_ = 0;       // of them, written whole
@@ -215,17 +205,20 @@
   Micros read_at_ = 0;  // bytes came last
 };
 
-ServerSide::ServerSide(event_base* base, const Clock& clock, Handler& handler, Limits limits,
-                       const std::vector<violetusher::ReportField>* fields)
-    : base_(base),
-      clock_(clock),
+ServerSide::ServerSide(Io& io, Handler& handler, Limits limits,
+                       const std::vector<violetusher::ReportField>* fields,
+                       core::flight::Recorder& recorder)
+    : io_(io),
       handler_(handler),
       limits_(limits),
       fields_(fields),
+      recorder_(recorder),
+      sweep_alarm_(io.alarm([this] {
+        sweep_alarm_->set(kSweep);
+        sweep();
+      })),
       scratch_(std::make_unique<char[]>(kScratch)) {
-  sweep_event_.reset(event_new(base, -1, EV_PERSIST, on_sweep, this));
-  timeval every = timeval_of(kSweep);
-  event_add(sweep_event_.get(), &every);
+  sweep_alarm_->set(kSweep);
 }
 
 ServerSide::~ServerSide() = default;
@@ -261,24 +254,22 @@
 
 ServerConnection* ServerSide::dial(ServerPool& pool) {
   if (!pool.address) return nullptr;
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!fd) return nullptr;
-  int on = 1;
-  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  int result = ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&*pool.address),
-                         sizeof *pool.address);
-  if (result != 0 && errno != EINPROGRESS) return nullptr;
-  pool.connections.push_back(std::make_unique<ServerConnection>(*this, pool, std::move(fd)));
+  Socket socket = io_.connect(*pool.address);
+  if (!socket) return nullptr;
+  std::uint32_t number = next_connection_++;
+  recorder_.note(io_.now(), Kind::kDial, 0, -1, number, 0, pool.id);
+  pool.connections.push_back(
+      std::make_unique<ServerConnection>(*this, pool, std::move(socket), number));
   ++total_;
   pool.connections.back()->await_connect();
   return pool.connections.back().get();
 }
 
-/// The connection for one more attempt: of the idle ones that have settled the last used, else a new one, else the
-/// one with the least before it. Answers come in order, so waiting behind another costs its whole
-/// service time; a dial costs a round trip or two.
+/// The connection for one more attempt: of the idle ones that have settled the last used, else a
+/// new one, else the one with the least before it. Answers come in order, so waiting behind another
+/// costs its whole service time; a dial costs a round trip or two.
 ServerConnection* ServerSide::pick(ServerPool& pool) {
-  Micros settled = clock_.now() - kSettleTime;
+  Micros settled = io_.now() - kSettleTime;
   auto better = [&](const ServerConnection& a, const ServerConnection& b) {
     bool a_fresh = a.used_at_ > settled, b_fresh = b.used_at_ > settled;
     if (a_fresh != b_fresh) return b_fresh;
@@ -296,7 +287,7 @@
   }
   for (auto& c : pool.connections)  // dialled for a request that has ended since
     if (c->connecting_ && c->entries_.empty() && !c->retiring_) return c.get();
-  bool may_dial = clock_.now() >= pool.no_dial_until || pool.connections.empty();
+  bool may_dial = io_.now() >= pool.no_dial_until || pool.connections.empty();
   if (may_dial && make_room(pool))
     if (ServerConnection* c = dial(pool)) return c;
   return least_loaded(pool);
@@ -332,8 +323,8 @@
   return unused != nullptr;
 }
 
-void ServerSide::send(const std::string& server, RequestId id, int attempt,
-                      const Command& command, std::int64_t wait_ms) {
+void ServerSide::send(const std::string& server, RequestId id, int attempt, const Command& command,
+                      std::int64_t wait_ms) {
   auto at = pools_.find(server);
   ServerConnection* c = at == pools_.end() ? nullptr : pick(*at->second);
   if (!c) {
@@ -344,9 +335,11 @@
                             .attempt = attempt,
                             .set = command.set,
                             .answer_id = command.id,
-                            .bytes = command.wire(wait_ms),
-                            .since = clock_.now()};
+                            .bytes = protocol::command_bytes(command, wait_ms),
+                            .since = io_.now()};
   c->used_at_ = e.since;
+  recorder_.note(e.since, Kind::kSent, id, attempt, c->number_,
+                 static_cast<std::int64_t>(c->entries_.size()), server);
   c->entries_.push_back(std::move(e));
   touch(*c);
 }
@@ -364,7 +357,7 @@
         return Status::Moot;
       }
       e.live = false;
-      e.since = clock_.now();
+      e.since = io_.now();
       if (k < c.sent_) {
         // Only an end of the connection tells the server that nobody waits any more, so that it may
         // drop what it has not begun. Where many clients leave early, what they left behind filled
@@ -400,9 +393,8 @@
                               Answer());
   }
   c.entries_.clear();
-  c.read_.reset();
-  c.write_.reset();
-  c.fd_.reset();
+  c.watch_.reset();
+  c.socket_.reset();
   auto& all = c.pool_.connections;
   auto at = std::find_if(all.begin(), all.end(), [&](const auto& p) { return p.get() == &c; });
   closed_.push_back(std::move(*at));
@@ -413,7 +405,7 @@
 /// A full connection table refuses new connections while those that are open work: what waited for
 /// the dial goes behind others then. Where there are none, the server can't be reached.
 void ServerSide::failed_dial(ServerConnection& c) {
-  c.pool_.no_dial_until = clock_.now() + kDialPause;
+  c.pool_.no_dial_until = io_.now() + kDialPause;
   std::deque<ServerConnection::Entry> waiting = std::move(c.entries_);
   c.entries_.clear();
   ServerPool& pool = c.pool_;
@@ -424,17 +416,15 @@
       handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, Answer());
       continue;
     }
+    recorder_.note(io_.now(), Kind::kMoved, e.id, e.attempt, other->number_,
+                   static_cast<std::int64_t>(other->entries_.size()), pool.id);
     other->entries_.push_back(std::move(e));
     touch(*other);
   }
 }
 
-void ServerSide::on_sweep(evutil_socket_t, short, void* self) {
-  static_cast<ServerSide*>(self)->sweep();
-}
-
 void ServerSide::sweep() {
-  Micros now = clock_.now();
+  Micros now = io_.now();
   auto idle_limit = static_cast<Micros>(kIdlePart * static_cast<double>(limits_.keepalive));
   for (auto it = pools_.begin(); it != pools_.end();) {
     ServerPool& pool = *it->second;
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -9,8 +9,9 @@
 #include <vector>
 
 #include "config.hpp"
+#include "core/flight/ring.hpp"
 #include "io.hpp"
-#include "../protocol/meta.hpp"
+#include "protocol/meta.hpp"
 
 namespace violetusher::net {
 
@@ -43,8 +44,8 @@
     Micros dial_timeout = 75 * kMillisecond;
   };
 
-  ServerSide(event_base* base, const Clock& clock, Handler& handler, Limits limits,
-             const std::vector<violetusher::ReportField>* fields);
+  ServerSide(Io& io, Handler& handler, Limits limits,
+             const std::vector<violetusher::ReportField>* fields, core::flight::Recorder& recorder);
   ~ServerSide();
 
   /// Takes over what a list says of where servers are and whether they want anything new.
@@ -63,7 +64,6 @@
 
  private:
   friend class ServerConnection;
-  static void on_sweep(evutil_socket_t, short, void* self);
   void sweep();
   ServerConnection* pick(ServerPool& pool);
   /// The connection of the pool to write one more attempt behind others on; none where there is
@@ -77,14 +77,15 @@
   void close(ServerConnection& connection);
   void failed_dial(ServerConnection& connection);
 
-  event_base* base_;
-  const Clock& clock_;
+  Io& io_;
   Handler& handler_;
   Limits limits_;
   const std::vector<violetusher::ReportField>* fields_;
-  EventPtr sweep_event_;
+  core::flight::Recorder& recorder_;
+  std::unique_ptr<Alarm> sweep_alarm_;
   std::unordered_map<std::string, std::unique_ptr<ServerPool>> pools_;
   std::size_t total_ = 0;
+  std::uint32_t next_connection_ = 1;
   std::vector<std::unique_ptr<ServerConnection>> closed_;
   std::vector<ServerConnection*> dirty_;
   std::unique_ptr<char[]> scratch_;
--- /dev/null
+++ b/src/net/system_io.cpp
@@ -0,0 +1,222 @@
+#include "system_io.hpp"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace violetusher::net {
+namespace {
+
+constexpr ev_ssize_t kMaxBody = 8 << 20;
+constexpr ev_ssize_t kMaxHeaders = 64 << 10;
+
+class SystemWatch final : public Watch {
+ public:
+  SystemWatch(event_base* base, int socket, Target& target) : target_(target) {
+    read_.reset(event_new(base, socket, EV_READ | EV_PERSIST, on_event, this));
+    write_.reset(event_new(base, socket, EV_WRITE, on_event, this));
+  }
+  void read(bool on) override { on ? event_add(read_.get(), nullptr) : event_del(read_.get()); }
+  void write_once(Micros limit) override {
+    timeval wait = timeval_of(limit);
+    event_add(write_.get(), limit > 0 ? &wait : nullptr);
+  }
+
+ private:
+  static void on_event(evutil_socket_t, short what, void* self) {
+    unsigned ready = (what & EV_READ ? kReadable : 0u) | (what & EV_WRITE ? kWritable : 0u) |
+                     (what & EV_TIMEOUT ? kLimit : 0u);
+    static_cast<SystemWatch*>(self)->target_.on_ready(ready);
+  }
+
+  Target& target_;
+  EventPtr read_, write_;
+};
+
+class SystemAlarm final : public Alarm {
+ public:
+  SystemAlarm(event_base* base, std::function<void()> rings) : rings_(std::move(rings)) {
+    event_.reset(event_new(base, -1, 0, on_event, this));
+  }
+  void set(Micros after) override {
+    timeval wait = timeval_of(after);
+    event_add(event_.get(), &wait);
+  }
+  void clear() override { event_del(event_.get()); }
+
+ private:
+  static void on_event(evutil_socket_t, short, void* self) {
+    static_cast<SystemAlarm*>(self)->rings_();
+  }
+
+  std::function<void()> rings_;
+  EventPtr event_;
+};
+
+class SystemHttpGet final : public HttpGet {
+ public:
+  SystemHttpGet(event_base* base, Done done) : base_(base), done_(std::move(done)) {
+    ready_.reset(event_new(base, -1, 0, on_ready, this));
+  }
+
+  void start(const std::string& address, const std::string& path, Micros limit) override {
+    stop();
+    auto parsed = parse_address(address);
+    std::uint16_t port = parsed ? ntohs(parsed->sin_port) : 0;
+    std::string host = address.substr(0, address.rfind(':'));
+    connection_.reset(evhttp_connection_base_new(base_, nullptr, host.c_str(), port));
+    evhttp_request* request = connection_ ? evhttp_request_new(on_answer, this) : nullptr;
+    if (!request) {
+      event_active(ready_.get(), 0, 0);
+      return;
+    }
+    evhttp_connection_set_max_body_size(connection_.get(), kMaxBody);
+    evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaders);
+    timeval wait = timeval_of(limit);
+    evhttp_connection_set_timeout_tv(connection_.get(), &wait);
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", address.c_str());
+    evhttp_add_header(headers, "Connection", "close");
+    if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0)
+      event_active(ready_.get(), 0, 0);
+  }
+
+  void stop() override {
+    connection_.reset();
+    body_.reset();
+    event_del(ready_.get());
+  }
+
+ private:
+  struct ConnectionFree {
+    void operator()(evhttp_connection* c) const { evhttp_connection_free(c); }
+  };
+
+  static void on_answer(evhttp_request* request, void* self) {
+    auto* call = static_cast<SystemHttpGet*>(self);
+    call->body_.reset();
+    if (request && evhttp_request_get_response_code(request) == 200) {
+      evbuffer* in = evhttp_request_get_input_buffer(request);
+      std::size_t size = evbuffer_get_length(in);
+      call->body_.emplace(size, '\0');
+      evbuffer_copyout(in, call->body_->data(), size);
+    }
+    event_active(call->ready_.get(), 0, 0);
+  }
+
+  /// Outside of evhttp's own call, so that the connection can go.
+  static void on_ready(evutil_socket_t, short, void* self) {
+    auto* call = static_cast<SystemHttpGet*>(self);
+    call->connection_.reset();
+    call->done_(std::exchange(call->body_, std::nullopt));
+  }
+
+  event_base* base_;
+  Done done_;
+  std::unique_ptr<evhttp_connection, ConnectionFree> connection_;
+  EventPtr ready_;
+  std::optional<std::string> body_;
+};
+
+bool would_block() { return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR; }
+
+void no_delay(int socket) {
+  int on = 1;
+  ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+Socket SystemIo::listen(const sockaddr_in& address, std::string& error) {
+  Socket socket(*this, ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  int fd = socket.number(), on = 1;
+  if (socket && ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
+      ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
+      ::listen(fd, SOMAXCONN) == 0)
+    return socket;
+  error = std::strerror(errno);
+  return Socket();
+}
+
+std::uint16_t SystemIo::port(int listener) const {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
+Io::Accepted SystemIo::accept(int listener, Socket& socket) {
+  while (true) {
+    int fd = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      no_delay(fd);
+      socket = Socket(*this, fd);
+      return Accepted::kOne;
+    }
+    if (errno == EINTR || errno == ECONNABORTED) continue;
+    return errno == EAGAIN || errno == EWOULDBLOCK ? Accepted::kNone : Accepted::kNoRoom;
+  }
+}
+
+Socket SystemIo::connect(const sockaddr_in& address) {
+  Socket socket(*this, ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!socket) return socket;
+  no_delay(socket.number());
+  int result =
+      ::connect(socket.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  if (result != 0 && errno != EINPROGRESS) return Socket();
+  return socket;
+}
+
+bool SystemIo::connected(int socket) {
+  int error = 0;
+  socklen_t size = sizeof error;
+  ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size);
+  return error == 0;
+}
+
+ssize_t SystemIo::recv(int socket, char* to, std::size_t size) {
+  ssize_t got = ::recv(socket, to, size, 0);
+  return got >= 0 ? got : would_block() ? kAgain : kBroken;
+}
+
+ssize_t SystemIo::send(int socket, const iovec* parts, std::size_t count) {
+  msghdr message{};
+  message.msg_iov = const_cast<iovec*>(parts);
+  message.msg_iovlen = count;
+  while (true) {
+    ssize_t put = ::sendmsg(socket, &message, MSG_NOSIGNAL);
+    if (put >= 0) return put;
+    if (errno != EINTR) return would_block() ? kAgain : kBroken;
+  }
+}
+
+bool SystemIo::has_input(int socket) {
+  char byte;
+  ssize_t got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || !would_block();
+}
+
+void SystemIo::shut_sending(int socket) { ::shutdown(socket, SHUT_WR); }
+
+void SystemIo::close(int socket) { ::close(socket); }
+
+std::unique_ptr<Watch> SystemIo::watch(int socket, Watch::Target& target) {
+  return std::make_unique<SystemWatch>(base_, socket, target);
+}
+
+std::unique_ptr<Alarm> SystemIo::alarm(std::function<void()> rings) {
+  return std::make_unique<SystemAlarm>(base_, std::move(rings));
+}
+
+std::unique_ptr<HttpGet> SystemIo::http(HttpGet::Done done) {
+  return std::make_unique<SystemHttpGet>(base_, std::move(done));
+}
+
+void SystemIo::run_once() { event_base_loop(base_, EVLOOP_ONCE); }
+
+}  // namespace violetusher::net
--- /dev/null
+++ b/src/net/system_io.hpp
@@ -0,0 +1,98 @@
+// The system behind the seam of io.hpp: owners of file descriptors and libevent objects, the clock,
+// and the Io made of them.
+#pragma once
+
+#include <event2/event.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "io.hpp"
+
+namespace violetusher::net {
+
+/// Owns a file descriptor.
+class Fd {
+ public:
+  explicit Fd(int fd = -1) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept {
+    if (this != &other) reset(std::exchange(other.fd_, -1));
+    return *this;
+  }
+  ~Fd() { reset(); }
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+  void reset(int fd = -1) {
+    if (fd_ >= 0) ::close(fd_);
+    fd_ = fd;
+  }
+
+ private:
+  int fd_;
+};
+
+struct EventFree {
+  void operator()(event* e) const { event_free(e); }
+  void operator()(event_base* b) const { event_base_free(b); }
+};
+using EventPtr = std::unique_ptr<event, EventFree>;
+using EventBasePtr = std::unique_ptr<event_base, EventFree>;
+
+inline timeval timeval_of(Micros span) {
+  return {static_cast<time_t>(span / kSecond), static_cast<suseconds_t>(span % kSecond)};
+}
+
+/// Monotonic time whose origin is Unix time at the start: it never steps, and a `born_ms` from
+/// discovery is a time on it without conversion.
+class Clock {
+ public:
+  Clock() : origin_(unix_now() - monotonic_now()) {}
+  Micros now() const { return origin_ + monotonic_now(); }
+
+ private:
+  static Micros monotonic_now() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+  }
+  static Micros unix_now() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+  }
+  Micros origin_;
+};
+
+/// The system's clock, timers and sockets, on a libevent loop that the caller owns and that
+/// outlives it.
+class SystemIo final : public Io {
+ public:
+  explicit SystemIo(event_base* base) : base_(base) {}
+
+  Micros now() const override { return clock_.now(); }
+  Socket listen(const sockaddr_in& address, std::string& error) override;
+  std::uint16_t port(int listener) const override;
+  Accepted accept(int listener, Socket& socket) override;
+  Socket connect(const sockaddr_in& address) override;
+  bool connected(int socket) override;
+  ssize_t recv(int socket, char* to, std::size_t size) override;
+  ssize_t send(int socket, const iovec* parts, std::size_t count) override;
+  bool has_input(int socket) override;
+  void shut_sending(int socket) override;
+  void close(int socket) override;
+  std::unique_ptr<Watch> watch(int socket, Watch::Target& target) override;
+  std::unique_ptr<Alarm> alarm(std::function<void()> rings) override;
+  std::unique_ptr<HttpGet> http(HttpGet::Done done) override;
+  void run_once() override;
+
+ private:
+  event_base* base_;
+  Clock clock_;
+};
+
+}  // namespace violetusher::net
--- /dev/null
+++ b/src/net/timers.hpp
@@ -0,0 +1,66 @@
+// The router's timers: set, cancelled at once, and rung in the order of their times, those of one
+// time in the order in which they were set. One alarm of the Io stands behind all of them.
+//
+// An indexed heap with four children a node. bench/timers.cpp holds it against the lazy heap that
+// was here and against a hashed wheel; docs/design/request-core.md has the figures.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "violetusher/balancer.hpp"
+
+namespace violetusher::net {
+
+class Timers {
+ public:
+  /// What a timer is for.
+  struct Due {
+    enum class Kind : std::uint8_t {
+      kModule,   ///< the decision module's
+      kAttempt,  ///< an attempt's patience is over
+      kExpiry,   ///< the client's time is over
+      kLast,     ///< whatever happened, the client gets its answer
+    };
+    Kind kind = Kind::kModule;
+    std::uint32_t module = 0;  ///< of kModule
+    int attempt = 0;           ///< of kAttempt
+    std::uint64_t token = 0;   ///< the module's, or a request's number
+  };
+  /// Names a timer that was set; 0 names none.
+  using Handle = std::uint64_t;
+
+  Handle set(Micros at, const Due& due);
+  /// Takes the timer out and sets `handle` to 0. One that has rung, or none, is let be.
+  void cancel(Handle& handle);
+  /// When the first one is due.
+  std::optional<Micros> next() const;
+  /// Takes out the first one that is due at `now`; false where there is none.
+  bool take(Micros now, Due& due);
+  std::size_t size() const { return heap_.size(); }
+
+ private:
+  struct Item {
+    Micros at;
+    std::uint64_t order;
+    std::uint32_t node;
+    bool before(const Item& o) const { return at != o.at ? at < o.at : order < o.order; }
+  };
+  struct Node {
+    Due due;
+    std::uint32_t place = 0;       // in heap_, where it is set
+    std::uint32_t generation = 0;  // odd while set
+  };
+  void put(std::size_t place, const Item& item);
+  void rise(std::size_t place, Item item);
+  void sink(std::size_t place, Item item);
+  void remove(std::size_t place);
+
+  std::vector<Item> heap_;
+  std::vector<Node> nodes_;
+  std::vector<std::uint32_t> free_;
+  std::uint64_t order_ = 0;
+};
+
+}  // namespace violetusher::net
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -58,8 +58,11 @@
   need -= size;
 }
 
-bool ends_line(const std::string& value) {
-  return value.size() >= 2 && value[value.size() - 2] == '\r' && value.back() == '\n';
+/// Takes the line end off that a value must have behind it; false where it has none.
+bool drop_line_end(std::string& value) {
+  if (value.size() < 2 || value[value.size() - 2] != '\r' || value.back() != '\n') return false;
+  value.resize(value.size() - 2);
+  return true;
 }
 
 /// No control characters: what a terminal or another parser would not take for part of a line.
@@ -69,16 +72,51 @@
 
 }  // namespace
 
-std::string Command::wire(std::int64_t wait) const {
+void append_command(std::string& out, const Command& command, std::int64_t wait_ms) {
   char digits[24];
-  char* end = std::to_chars(digits, digits + sizeof digits, wait).ptr;
+  char* end = std::to_chars(digits, digits + sizeof digits, wait_ms).ptr;
+  out.reserve(out.size() + command.head.size() + command.tail.size() + sizeof digits + 4 +
+              command.value.size());
+  out.append(command.head).append(digits, end).append(command.tail).append("\r\n");
+  if (command.set) out.append(command.value).append("\r\n");
+}
+
+std::string command_bytes(const Command& command, std::int64_t wait_ms) {
   std::string text;
-  text.reserve(before_d.size() + after_d.size() + static_cast<std::size_t>(end - digits) + 2 +
-               value.size());
-  text.append(before_d).append(digits, end).append(after_d).append("\r\n").append(value);
+  append_command(text, command, wait_ms);
   return text;
 }
 
+void append_reply(std::string& out, const std::string& id, const Reply& reply) {
+  char digits[24];
+  auto figure = [&](auto value) -> std::string_view {
+    char* end = std::to_chars(digits, digits + sizeof digits, value).ptr;
+    return {digits, static_cast<std::size_t>(end - digits)};
+  };
+  switch (reply.kind) {
+    case Reply::Kind::Value:
+      out.reserve(out.size() + reply.value.size() + id.size() + 40);
+      out.append("VA ").append(figure(reply.value.size())).append(" O").append(id).append("\r\n");
+      out.append(reply.value);
+      break;
+    case Reply::Kind::Stored:
+      out.append("HD O").append(id);
+      if (!reply.receipt.empty()) out.append(" c").append(reply.receipt);
+      break;
+    case Reply::Kind::Busy:
+      out.append("SERVER_ERROR busy");
+      if (reply.come_back > 0) out.append(" ").append(figure((reply.come_back + 999) / 1000));
+      break;
+    case Reply::Kind::Failed:
+      out.append("SERVER_ERROR failed");
+      break;
+    case Reply::Kind::Bad:
+      out.append("CLIENT_ERROR bad command");
+      break;
+  }
+  out.append("\r\n");
+}
+
 CommandReader::Got CommandReader::take_line(std::string_view line, Command& command) {
   std::string_view rest = line;
   std::string_view verb = next_word(rest);
@@ -125,7 +163,7 @@
     if (name == "c") command.type = value;
     if (name == "t") command.tenant = value;
     if (name == "r") command.repeat = value == "1";
-    if (name == "k") command.idempotent = !value.empty();
+    if (name == "k") command.idempotency = value;
     if (name == "d") wait = value;
     if (name == "h") {  // a guess: one that can't be used is none
       auto work = number<double>(value);
@@ -137,8 +175,8 @@
   command.wait_ms = *wait_ms;
   command.key = key;
   std::size_t cut = static_cast<std::size_t>(wait.data() - line.data());
-  command.before_d = line.substr(0, cut);
-  command.after_d = line.substr(cut + wait.size());
+  command.head = line.substr(0, cut);
+  command.tail = line.substr(cut + wait.size());
   if (!command.set) return Got::Command;
   state_ = State::Value;
   pending_ = std::move(command);
@@ -161,7 +199,7 @@
       state_ = State::Line;
       command = std::move(pending_);
       pending_ = Command();
-      return ends_line(command.value) ? Got::Command : Got::Bad;
+      return drop_line_end(command.value) ? Got::Command : Got::Bad;
     }
   }
   return Got::Nothing;
@@ -186,7 +224,7 @@
   if (any) answer.report = std::move(report);
 }
 
-bool AnswerReader::parse_line(std::string_view line, Answer& answer) const {
+bool AnswerReader::parse_line(std::string_view line, Answer& answer) {
   answer = Answer();
   if (!printable(line)) return false;
   std::string_view rest = line;
@@ -196,7 +234,7 @@
     answer.kind = Answer::Kind::Value;
     auto length = number<std::size_t>(next_word(rest));
     if (!length || *length > kMaxValue) return false;
-    answer.length = *length;
+    need_ = *length + 2;
   } else if (verb == "HD") {
     answer.kind = Answer::Kind::Stored;
   } else if (verb == "EN") {
@@ -253,7 +291,6 @@
       std::string().swap(partial_);
       if (!good) return Got::Broken;
       if (answer.kind != Answer::Kind::Value) return Got::Answer;
-      need_ = answer.length + 2;
       pending_ = std::move(answer);
       pending_.value.reserve(need_);
       state_ = State::Value;
@@ -263,7 +300,7 @@
       state_ = State::Line;
       answer = std::move(pending_);
       pending_ = Answer();
-      return ends_line(answer.value) ? Got::Answer : Got::Broken;
+      return drop_line_end(answer.value) ? Got::Answer : Got::Broken;
     }
   }
   return Got::Nothing;
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -1,38 +1,23 @@
-// The memcache meta commands that clients send and the answers that cache servers give, read
-// incrementally from bytes. No sockets here; every buffer is bounded.
+// memcache's meta protocol: commands and answers read incrementally from bytes, and written. No
+// sockets here; every buffer is bounded.
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "violetusher/balancer.hpp"
+#include "command.hpp"
 
 namespace violetusher::protocol {
 
-constexpr std::size_t kMaxLine = 2048;        ///< bytes of one line, its end included
-constexpr std::size_t kMaxKey = 250;          ///< as memcached has it
-constexpr std::size_t kMaxOpaque = 64;        ///< of a request's id
-constexpr std::size_t kMaxValue = 64u << 10;  ///< bytes of one value
+constexpr std::size_t kMaxLine = 2048;  ///< bytes of one line, its end included
 
-/// One `mg` or `ms`. The line is kept as the client wrote it, cut open where `d` stands.
-struct Command {
-  bool set = false;
-  std::string before_d, after_d;  ///< the line without its end, on both sides of the figure of `d`
-  std::string id, key, type, tenant;
-  double wait_ms = 0;  ///< `d`
-  std::optional<std::int64_t> work;
-  bool repeat = false;
-  bool idempotent = false;  ///< it bears an idempotency key
-  std::string value;        ///< of a set, with its line end
-
-  /// The bytes for a cache server, `wait_ms` in the place of the client's.
-  std::string wire(std::int64_t wait_ms) const;
-  /// What the command holds in memory, about.
-  std::size_t size() const { return 4 * before_d.size() + value.size() + 512; }
-};
+/// The bytes of `command` for a cache server, `wait_ms` in the place of the client's, behind `out`.
+void append_command(std::string& out, const Command& command, std::int64_t wait_ms);
+std::string command_bytes(const Command& command, std::int64_t wait_ms);
+/// The bytes of the final answer to the request `id`, behind `out`.
+void append_reply(std::string& out, const std::string& id, const Reply& reply);
 
 /// Reads commands. `take` consumes from `in`; what it can't finish yet it keeps, one line and one
 /// value at most.
@@ -64,20 +49,6 @@
   std::size_t value_need_ = 0;
 };
 
-/// A cache server's answer.
-struct Answer {
-  enum class Kind { Value, Stored, Busy, Error, Miss };
-  Kind kind = Kind::Error;
-  std::string id;       ///< of `O`; may be empty where the line has none
-  std::string receipt;  ///< of `HD`
-  std::size_t length = 0;
-  std::string value;  ///< of a `VA`, with its line end
-  int note = 0;       ///< 1 hit, 2 miss, 3 miss while another fetch is out, 0 not told
-  std::vector<double> report;  ///< in the order of the settings' fields, NaN where not told;
-                               ///< empty where no field could be read
-  bool last = false;  ///< after such a line the connection's framing is not to be trusted
-};
-
 /// Reads answers of one connection, in their order.
 class AnswerReader {
  public:
@@ -93,7 +64,7 @@
 
  private:
   enum class State { Line, Value };
-  bool parse_line(std::string_view line, Answer& answer) const;
+  bool parse_line(std::string_view line, Answer& answer);
   void parse_report(std::string_view text, Answer& answer) const;
 
   const std::vector<violetusher::ReportField>* fields_;
--- a/tests/kit/rehearse/saboteur.cpp
+++ b/tests/kit/rehearse/saboteur.cpp
@@ -12,13 +12,12 @@
 #include <cstring>
 #include <fstream>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
-#include "net/io.hpp"
+#include "net/system_io.hpp"
 #include "protocol/meta.hpp"
 
 namespace {
@@ -43,14 +42,16 @@
 std::atomic<int> asked{0};
 
 std::int64_t unix_ms() {
-  return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
 std::vector<Cache> read_list(const Json& list) {
   std::vector<Cache> read;
   for (const Json& host : list.at("hosts"))
-    read.push_back({host.at("host"), host.at("dial"), host.at("health") == "active", host.at("born_ms")});
+    read.push_back(
+        {host.at("host"), host.at("dial"), host.at("health") == "active", host.at("born_ms")});
   return read;
 }
 
@@ -110,7 +111,7 @@
   auto until = Clock::now() + milliseconds(limit_ms);
   Fd fd = connect_to(choose(command.key), 100);
   if (!fd) return {};
-  send_all(fd.get(), command.wire(limit_ms));
+  send_all(fd.get(), violetusher::protocol::command_bytes(command, limit_ms));
   std::string in;
   while (true) {
     std::size_t end = in.find("\r\n");
@@ -133,7 +134,7 @@
 void send_late(const violetusher::protocol::Command& command) {
   std::thread([command, fd = connect_to(choose(command.key), 100)] {
     std::this_thread::sleep_for(milliseconds(1'200));
-    if (fd) send_all(fd.get(), command.wire(100));
+    if (fd) send_all(fd.get(), violetusher::protocol::command_bytes(command, 100));
     std::this_thread::sleep_for(milliseconds(4'000));  // its end must not take the bytes along
   }).detach();
 }
@@ -142,7 +143,8 @@
 std::string answer_for(const violetusher::protocol::Command& command) {
   // Asks nobody: what is left is the rig's own cost.
   if (mode == "null")
-    return command.set ? "HD O" + command.id + " cnull\r\n" : "VA 4 O" + command.id + "\r\nnull\r\n";
+    return command.set ? "HD O" + command.id + " cnull\r\n"
+                       : "VA 4 O" + command.id + "\r\nnull\r\n";
   bool mine = asked++ % 20 == 19;  // whom a saboteur harms
   int limit = std::max(1, static_cast<int>(command.wait_ms) - 20);
   if (mine && mode == "lose") return {};
@@ -160,8 +162,7 @@
   }
   if (answer.empty()) return "SERVER_ERROR failed\r\n";
   if (mine && mode == "twice") answer += answer;
-  if (mine && mode == "wrong-value" && !command.set)
-    return "VA 5 O" + command.id + "\r\nwrong\r\n";
+  if (mine && mode == "wrong-value" && !command.set) return "VA 5 O" + command.id + "\r\nwrong\r\n";
   if (mode == "repeat-sale" && command.set)
     std::thread([command] {
       std::this_thread::sleep_for(milliseconds(5'300));
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "net/router.hpp"
+#include "net/system_io.hpp"
 
 namespace violetusher::net::test {
 
@@ -32,9 +33,7 @@
   return a;
 }
 
-inline std::string loopback_text(std::uint16_t port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
+inline std::string loopback_text(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
 /// A blocking client.
 class Client {
@@ -198,8 +197,8 @@
 
 inline std::string host_list(const std::string& seq, const std::vector<std::string>& entries,
                              bool whole = true) {
-  std::string text = R"({"seq":)" + seq + R"(,"whole":)" + (whole ? "true" : "false") +
-                     R"(,"hosts":[)";
+  std::string text =
+      R"({"seq":)" + seq + R"(,"whole":)" + (whole ? "true" : "false") + R"(,"hosts":[)";
   for (std::size_t k = 0; k < entries.size(); ++k) text += (k ? "," : "") + entries[k];
   return text + "]}";
 }
@@ -219,12 +218,12 @@
     entries.push_back(host_entry("s-" + std::to_string(k), o.dials[k]));
   auto one_class = [&](const std::string& name, const std::string& effect) {
     return R"({"Name":")" + name + R"(","Effect":")" + effect +
-           R"(","Group":"all","KeyTtlUs":5000000,"ObjectiveUs":)" + o.aim_us +
-           R"(,"DeadlineUs":)" + o.deadline_us + R"(,"Worth":1})";
+           R"(","Group":"all","KeyTtlUs":5000000,"ObjectiveUs":)" + o.aim_us + R"(,"DeadlineUs":)" +
+           o.deadline_us + R"(,"Worth":1})";
   };
   return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + o.discovery +
-         R"(","seed":"5","limits":{"memory_mb":)" + std::to_string(o.memory_mb) +
-         R"(,"sockets":)" + std::to_string(o.sockets) + R"(},"known":)" + host_list("1", entries) +
+         R"(","seed":"5","limits":{"memory_mb":)" + std::to_string(o.memory_mb) + R"(,"sockets":)" +
+         std::to_string(o.sockets) + R"(},"known":)" + host_list("1", entries) +
          R"(,"settings":{"Balancers":2,"Az":"a","FailureDomains":["a"],"TickUs":1000,)" +
          R"("MembershipMode":"automatic","Classes":[)" + one_class("read", "repeatable") + "," +
          one_class("put", "by_key") +
@@ -244,7 +243,8 @@
     auto port = ready.get_future();
     thread_ = std::thread([this, &ready] {
       EventBasePtr base(event_base_new());
-      Router router(base.get(), config_);
+      SystemIo io(base.get());
+      Router router(io, config_);
       router_ = &router;
       std::string error;
       EXPECT_TRUE(router.listen(error)) << error;
--- /dev/null
+++ b/tests/net/pool_set_test.cpp
@@ -0,0 +1,141 @@
+// Pools without sockets: modules made at first use, given back when idle, what each hears of lists.
+#include "net/pool_set.hpp"
+
+#include <malloc.h>
+
+#include "net_support.hpp"
+
+namespace violetusher::net::test {
+namespace {
+
+/// Writes down what modules hear.
+struct Heard : PoolSet::Handler {
+  struct List {
+    std::uint32_t module;
+    violetusher::ListScope scope;
+    std::vector<std::string> servers;
+  };
+  std::vector<std::uint32_t> started;
+  std::vector<List> lists;
+  void on_module_start(std::uint32_t module) override { started.push_back(module); }
+  void on_module_list(std::uint32_t module, violetusher::ListScope scope,
+                      std::vector<violetusher::Server>&& servers) override {
+    List list{module, scope, {}};
+    for (const auto& s : servers) list.servers.push_back(s.id);
+    lists.push_back(std::move(list));
+  }
+};
+
+std::shared_ptr<const core::Traffic> traffic(const std::string& text) {
+  auto compiled = core::config::compile("f", "version 1;\n" + text, [](auto&, auto&) {
+    return core::config::Loaded{"", "", "none"};
+  });
+  for (const auto& d : compiled.diagnostics.list()) ADD_FAILURE() << compiled.sources.show(d);
+  return std::make_shared<core::Traffic>(std::move(compiled.model), nullptr);
+}
+
+struct Fixture {
+  Config config = parse_config(config_text({.dials = {"127.0.0.1:9", "127.0.0.1:10"}}));
+  Heard heard;
+  PoolSet pools{config, heard, 1'000'000};
+};
+
+TEST(PoolSet, AModuleComesWithTheFirstRequestAndHearsItsPartOfTheList) {
+  Fixture f;
+  EXPECT_EQ(f.heard.lists.size(), 1u);  // that of the whole list
+  f.pools.operate(traffic("pool p { hosts = [\"*-1\"]; }\nroute r { pool = p; }\n"));
+  EXPECT_EQ(f.pools.modules(), 1u);
+  EXPECT_TRUE(f.pools.has_live("p"));  // without a module of its own
+  auto number = f.pools.enter("p", 2'000'000);
+  ASSERT_TRUE(number);
+  EXPECT_EQ(f.heard.started.back(), *number);
+  EXPECT_EQ(f.heard.lists.back().servers, (std::vector<std::string>{"s-1"}));
+  // A change that is not its own is told as nothing; one that takes its server is told.
+  f.pools.take(parse_host_list(host_list("2", {host_entry("s-0", "127.0.0.1:9", "left")}, false)));
+  f.pools.take(parse_host_list(host_list("3", {host_entry("s-1", "127.0.0.1:9", "left")}, false)));
+  std::vector<std::string> told;
+  for (const auto& list : f.heard.lists)
+    if (list.module == *number) told.insert(told.end(), list.servers.begin(), list.servers.end());
+  EXPECT_EQ(told, (std::vector<std::string>{"s-1", "s-1"}));
+  EXPECT_FALSE(f.pools.has_live("p"));
+}
+
+TEST(PoolSet, APoolThatSelectsOthersLeavesWithItsLastRequest) {
+  Fixture f;
+  f.pools.operate(traffic("pool p { hosts = [\"*-1\"]; }\nroute r { pool = p; }\n"));
+  std::uint32_t before = f.pools.enter("p", 2'000'000).value();
+  f.pools.operate(traffic("pool p { hosts = [\"*-0\"]; }\nroute r { pool = p; }\n"));
+  f.pools.free_gone(2'000'000);
+  EXPECT_NE(f.pools.find(before), nullptr);  // its request is still out
+  std::uint32_t after = f.pools.enter("p", 2'000'000).value();
+  EXPECT_NE(after, before);
+  f.pools.leave(before, 2'100'000);
+  f.pools.free_gone(2'100'000);
+  EXPECT_EQ(f.pools.find(before), nullptr);
+  EXPECT_NE(f.pools.find(after), nullptr);
+  // One that means the same stays, with what it has learnt.
+  f.pools.operate(
+      traffic("limit l { in_flight = 9; }\npool p { hosts = [\"*-0\"]; limit = l; }\nroute r { "
+              "pool = p; }\n"));
+  EXPECT_EQ(f.pools.enter("p", 2'200'000), after);
+}
+
+TEST(PoolSet, AnIdleModuleIsGivenBackAndMadeAgain) {
+  Fixture f;
+  f.pools.operate(traffic("pool p { }\nroute r { pool = p; }\n"));
+  std::uint32_t number = f.pools.enter("p", 2'000'000).value();
+  f.pools.free_gone(120'000'000);
+  EXPECT_NE(f.pools.find(number), nullptr);  // in use, for however long
+  f.pools.leave(number, 121'000'000);
+  f.pools.free_gone(150'000'000);
+  EXPECT_NE(f.pools.find(number), nullptr);
+  f.pools.free_gone(190'000'000);
+  EXPECT_EQ(f.pools.find(number), nullptr);
+  EXPECT_NE(f.pools.enter("p", 191'000'000), number);
+  EXPECT_EQ(f.pools.modules(), 2u);
+}
+
+std::string many_pools(int count) {
+  std::string text;
+  for (int k = 0; k < count; ++k) {
+    std::string n = std::to_string(k);
+    text += "pool p" + n + " { hosts = [\"h" + n + "-*\"]; }\nroute r" + n + " { prefix = \"k" + n +
+            ":\"; pool = p" + n + "; }\n";
+  }
+  return text;
+}
+
+/// Of 10,000 pools only those that are asked for cost anything, and there is a bound on them.
+TEST(PoolSet, TenThousandPoolsOfWhichTenAreUsed) {
+  Fixture f;
+  auto model = traffic(many_pools(10'000));
+  struct mallinfo2 before = ::mallinfo2();
+  f.pools.operate(model);
+  struct mallinfo2 after = ::mallinfo2();
+  EXPECT_LT(static_cast<double>(after.uordblks) - static_cast<double>(before.uordblks),
+            10'000 * 100);
+  EXPECT_EQ(f.pools.modules(), 1u);
+  for (int k = 0; k < 10; ++k) EXPECT_TRUE(f.pools.enter("p" + std::to_string(k * 999), 2'000'000));
+  EXPECT_EQ(f.pools.modules(), 11u);
+  EXPECT_FALSE(f.pools.enter("none", 2'000'000));
+}
+
+TEST(PoolSet, AtItsBoundAnIdleModuleMakesRoomAndOneInUseDoesNot) {
+  Fixture f;
+  f.pools.operate(traffic(many_pools(1'000)));
+  std::vector<std::uint32_t> in_use;
+  int k = 0;
+  while (auto number = f.pools.enter("p" + std::to_string(k), 2'000'000 + k)) {
+    in_use.push_back(*number);
+    ASSERT_LE(f.pools.modules(), f.pools.most());
+    ASSERT_LT(++k, 1'000);
+  }
+  EXPECT_EQ(f.pools.modules(), f.pools.most());
+  f.pools.leave(in_use[3], 3'000'000);
+  EXPECT_TRUE(f.pools.enter("p" + std::to_string(k), 4'000'000));
+  EXPECT_EQ(f.pools.find(in_use[3]), nullptr);
+  EXPECT_LE(f.pools.modules(), f.pools.most());
+}
+
+}  // namespace
+}  // namespace violetusher::net::test
--- /dev/null
+++ b/tests/net/request_core_test.cpp
@@ -0,0 +1,377 @@
+// The life of requests on virtual time and without sockets: a world of the test's own stands behind
+// the seam. Whatever order things happen in, each request gets one final answer and nothing of it
+// stays.
+#include "net/request_core.hpp"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+#include "net_support.hpp"
+
+namespace violetusher::net::test {
+namespace {
+
+/// Sockets as byte queues, time as the test sets it.
+class FakeIo final : public Io {
+ public:
+  struct End {
+    std::string in, out;
+    bool ended = false, open = true, dialled = true;
+    Watch::Target* target = nullptr;
+    bool reading = false, writing = false;
+  };
+  struct FakeWatch final : Watch {
+    FakeWatch(FakeIo& io, int socket) : io(io), socket(socket) {}
+    ~FakeWatch() override { io.ends[socket].target = nullptr; }
+    void read(bool on) override { io.ends[socket].reading = on; }
+    void write_once(Micros) override { io.ends[socket].writing = true; }
+    FakeIo& io;
+    int socket;
+  };
+  struct FakeAlarm final : Alarm {
+    void set(Micros) override {}
+    void clear() override {}
+  };
+  struct FakeHttp final : HttpGet {
+    void start(const std::string&, const std::string&, Micros) override {}
+    void stop() override {}
+  };
+
+  Micros now() const override { return time; }
+  Socket listen(const sockaddr_in&, std::string&) override { return make(); }
+  std::uint16_t port(int) const override { return 1; }
+  Accepted accept(int, Socket& socket) override {
+    if (knocking == 0) return Accepted::kNone;
+    --knocking;
+    socket = make();
+    accepted.push_back(socket.number());
+    return Accepted::kOne;
+  }
+  Socket connect(const sockaddr_in&) override {
+    Socket s = make();
+    dialled.push_back(s.number());
+    return s;
+  }
+  bool connected(int socket) override { return ends[socket].dialled; }
+  ssize_t recv(int socket, char* to, std::size_t size) override {
+    End& e = ends[socket];
+    if (e.in.empty()) return e.ended ? 0 : kAgain;
+    std::size_t count = std::min(size, e.in.size());
+    std::memcpy(to, e.in.data(), count);
+    e.in.erase(0, count);
+    return static_cast<ssize_t>(count);
+  }
+  ssize_t send(int socket, const iovec* parts, std::size_t count) override {
+    ssize_t put = 0;
+    for (std::size_t k = 0; k < count; ++k) {
+      ends[socket].out.append(static_cast<const char*>(parts[k].iov_base), parts[k].iov_len);
+      put += static_cast<ssize_t>(parts[k].iov_len);
+    }
+    return put;
+  }
+  bool has_input(int socket) override { return ends[socket].ended || !ends[socket].in.empty(); }
+  void shut_sending(int) override {}
+  void close(int socket) override { ends[socket].open = false; }
+  std::unique_ptr<Watch> watch(int socket, Watch::Target& target) override {
+    ends[socket].target = &target;
+    return std::make_unique<FakeWatch>(*this, socket);
+  }
+  std::unique_ptr<Alarm> alarm(std::function<void()>) override {
+    return std::make_unique<FakeAlarm>();
+  }
+  std::unique_ptr<HttpGet> http(HttpGet::Done) override { return std::make_unique<FakeHttp>(); }
+  void run_once() override {}
+
+  /// Lets the socket's owner see what is there.
+  void ready(int socket, unsigned what) {
+    if (ends[socket].open && ends[socket].target) ends[socket].target->on_ready(what);
+  }
+  Socket make() { return Socket(*this, next++); }
+
+  Micros time = 1'000'000'000;
+  std::map<int, End> ends;
+  std::vector<int> accepted, dialled;
+  int knocking = 0, next = 1;
+};
+
+/// The core with its sides; what modules would say is said by the test.
+struct World : PoolSet::Handler {
+  void on_module_start(std::uint32_t) override {}
+  void on_module_list(std::uint32_t, violetusher::ListScope,
+                      std::vector<violetusher::Server>&&) override {}
+
+  explicit World(RequestTable::Bounds bounds = {100, 1u << 20})
+      : core({io, config, pools, timers, feed, clients, servers, recorder}, bounds),
+        clients(io, core, {}),
+        servers(io, core, {.per_server = 2}, &config.settings.report_fields, recorder),
+        memory(1u << 20),
+        ring({reinterpret_cast<std::byte*>(memory.data()), memory.size()}, "t", 1, io.time) {
+    servers.take_list(config.known);
+    std::string error;
+    clients.listen({}, error);
+    recorder.use(&ring);
+    core.on_alert([this](const char* what) { alerts.push_back(what); });
+  }
+  int client() {
+    io.knocking = 1;
+    io.ready(1, Watch::kReadable);
+    return io.accepted.back();
+  }
+  void say(int socket, const std::string& text) {
+    io.ends[socket].in += text;
+    io.ready(socket, Watch::kReadable);
+  }
+  void flush() {
+    servers.flush();
+    clients.flush();
+  }
+  /// Events that are on their way to the module are told and forgotten.
+  void drain() {
+    while (!feed.empty()) {
+      ModuleEvent& event = feed.take();
+      violetusher::Request request;
+      if (auto* e = std::get_if<RequestEvent>(&event)) core.describe(e->id, request);
+      if (auto* e = std::get_if<OutcomeEvent>(&event)) core.told(e->outcome.id);
+      if (auto* e = std::get_if<GoneEvent>(&event)) core.told(e->id);
+    }
+  }
+  void pass(Micros span) {
+    io.time += span;
+    Timers::Due due;
+    while (timers.take(io.time, due)) core.expire(due);
+  }
+
+  FakeIo io;
+  Config config = parse_config(config_text({.dials = {"127.0.0.1:9", "127.0.0.1:10"}}));
+  Timers timers;
+  ModuleFeed feed;
+  PoolSet pools{config, *this, 0};
+  core::flight::Recorder recorder;
+  RequestCore core;
+  ClientSide clients;
+  ServerSide servers;
+  std::vector<std::uint64_t> memory;
+  core::flight::Ring ring;
+  std::vector<std::string> alerts;
+};
+
+/// One request that has been sent to s-0 and reached it.
+struct OneOut : World {
+  OneOut() {
+    socket = client();
+    say(socket, read_command("a"));
+    drain();
+    core.send({1, "s-0", 0});
+    server = io.dialled.back();
+    io.ready(server, Watch::kWritable);
+    flush();
+  }
+  std::string answers() {
+    flush();
+    return io.ends[socket].out;
+  }
+  void expect_nothing_left() {
+    drain();
+    pass(10'000'000);  // the client's time is over, then the last guard's
+    drain();
+    pass(1'000'000);
+    drain();
+    EXPECT_EQ(core.table().size(), 0u);
+    EXPECT_EQ(core.table().bytes(), 0u);
+    EXPECT_EQ(timers.size(), 0u);
+    EXPECT_FALSE(core.table().knows("a"));
+  }
+  int socket, server;
+};
+
+struct Source {
+  const char* name;
+  void (*act)(OneOut&);
+};
+const Source kSources[] = {
+    {"server", [](OneOut& w) { w.say(w.server, "VA 5 Oa\r\nprice\r\n"); }},
+    {"server_error", [](OneOut& w) { w.say(w.server, "SERVER_ERROR failed Oa\r\n"); }},
+    {"expiry",
+     [](OneOut& w) {
+       w.pass(1'600'000);
+       w.pass(100'000);
+     }},
+    {"client_left",
+     [](OneOut& w) {
+       w.io.ends[w.socket].ended = true;
+       w.io.ready(w.socket, Watch::kReadable);
+     }},
+    {"refusal",
+     [](OneOut& w) {
+       w.core.refuse({1, 0});
+     }},
+    {"failure", [](OneOut& w) { w.core.fail({1}); }},
+    {"cancel",
+     [](OneOut& w) {
+       w.core.cancel({1, 0});
+     }},
+    {"shutdown", [](OneOut& w) { w.core.fail_all(); }},
+    {"reset",
+     [](OneOut& w) {
+       w.io.ends[w.server].ended = true;
+       w.io.ready(w.server, Watch::kReadable);
+     }},
+};
+
+/// Every two sources of an end, in both orders, with what they tell the module told in between or
+/// not.
+TEST(OneAnswer, FromEveryPairOfSources) {
+  for (const Source& first : kSources)
+    for (const Source& second : kSources)
+      for (bool between : {false, true}) {
+        SCOPED_TRACE(std::string(first.name) + " then " + second.name);
+        OneOut w;
+        first.act(w);
+        if (between) w.drain();
+        second.act(w);
+        w.expect_nothing_left();
+        std::string got = w.answers();
+        int lines = 0;
+        for (const char* answer :
+             {"VA 5 Oa\r\nprice\r\n", "SERVER_ERROR failed\r\n", "SERVER_ERROR busy\r\n"})
+          lines += got == answer;
+        EXPECT_EQ(lines, 1) << got;
+      }
+}
+
+TEST(OneAnswer, ASecondIsStoppedAndTold) {
+  OneOut w;
+  w.core.refuse({1, 0});
+  w.core.refuse({1, 0});  // the module again: let be, as it does not know yet
+  EXPECT_TRUE(w.alerts.empty());
+  EXPECT_EQ(w.answers(), "SERVER_ERROR busy\r\n");
+}
+
+TEST(LateAnswer, IsToldAsCloseToABrokenRule) {
+  OneOut w;
+  w.io.time += 1'700'000;  // the loop was held up: no timer has rung
+  w.say(w.server, "VA 5 Oa\r\nprice\r\n");
+  EXPECT_EQ(w.alerts, std::vector<std::string>{"late-answer"});
+}
+
+TEST(Timing, ATimerThatFiresInTheTurnOfTheAnswerChangesNothing) {
+  OneOut w;
+  w.io.time += 1'500'000;
+  w.say(w.server, "VA 5 Oa\r\nprice\r\n");
+  Timers::Due due;
+  while (w.timers.take(w.io.time, due)) w.core.expire(due);
+  EXPECT_EQ(w.answers(), "VA 5 Oa\r\nprice\r\n");
+  w.expect_nothing_left();
+}
+
+TEST(Timing, AnAnswersTimersLeaveWithIt) {
+  OneOut w;
+  EXPECT_EQ(w.timers.size(), 1u);
+  w.say(w.server, "VA 5 Oa\r\nprice\r\n");
+  w.drain();
+  EXPECT_EQ(w.timers.size(), 0u);
+}
+
+TEST(Bounds, WhatIsTurnedAwayLeavesNothing) {
+  World w({2, 1u << 20});
+  int socket = w.client();
+  w.say(socket, read_command("a") + read_command("b") + read_command("c") + read_command("a"));
+  EXPECT_EQ(w.core.table().size(), 2u);
+  w.flush();
+  EXPECT_EQ(w.io.ends[socket].out,
+            "");  // in the order of the commands: the first two are still out
+  w.core.fail({1});
+  w.core.fail({2});
+  w.drain();
+  w.flush();
+  EXPECT_EQ(w.io.ends[socket].out,
+            "SERVER_ERROR failed\r\nSERVER_ERROR failed\r\nSERVER_ERROR busy\r\nCLIENT_ERROR bad "
+            "command\r\n");
+  EXPECT_EQ(w.core.table().size(), 0u);
+  EXPECT_FALSE(w.core.table().knows("c"));
+}
+
+/// Random lives from a seed: whatever happens to hundreds of requests, each is answered at most
+/// once, all that still have a client are answered, and the table ends empty.
+TEST(Lives, AllEndWithOneAnswerAndLeaveNothing) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    std::mt19937_64 draws(seed);
+    World w({30, 1u << 20});
+    std::vector<int> sockets;
+    for (int k = 0; k < 6; ++k) sockets.push_back(w.client());
+    std::map<int, int> asked;
+    std::set<int> left;
+    RequestId next = 1;
+    for (int step = 0; step < 400; ++step) {
+      int socket = sockets[draws() % sockets.size()];
+      RequestId any = 1 + draws() % next;
+      switch (draws() % 10) {
+        case 0:
+        case 1:
+        case 2:
+          if (left.count(socket)) break;
+          w.say(socket, read_command("q" + std::to_string(next++), "k", "300"));
+          ++asked[socket];
+          break;
+        case 3:
+        case 4:
+          if (w.feed.empty())
+            w.core.send({any, draws() % 2 ? "s-0" : "s-1", draws() % 3 ? 0 : 50'000});
+          break;
+        case 5:
+          if (draws() % 2)
+            w.core.refuse({any, 0});
+          else
+            w.core.cancel({any, 0});
+          break;
+        case 6:
+          for (int s : w.io.dialled) w.io.ready(s, Watch::kWritable);
+          break;
+        case 7:
+          if (!w.io.dialled.empty()) {
+            int s = w.io.dialled[draws() % w.io.dialled.size()];
+            std::string& out = w.io.ends[s].out;
+            std::size_t end = out.find("\r\n");
+            if (end != out.npos) {
+              std::string line = out.substr(0, end);
+              out.erase(0, end + 2);
+              w.say(s, draws() % 3 ? value_for(line) : "SERVER_ERROR busy\r\n");
+            }
+          }
+          break;
+        case 8:
+          w.pass(static_cast<Micros>(draws() % 60'000));
+          break;
+        default:
+          if (draws() % 8 == 0 && left.insert(socket).second) {
+            w.io.ends[socket].ended = true;
+            w.io.ready(socket, Watch::kReadable);
+          }
+      }
+      if (draws() % 2) w.drain();
+      w.flush();
+    }
+    w.drain();
+    for (int k = 0; k < 50; ++k) {
+      w.pass(50'000);
+      w.drain();
+      w.flush();
+    }
+    EXPECT_EQ(w.core.table().size(), 0u) << "seed " << seed;
+    EXPECT_EQ(w.core.table().bytes(), 0u);
+    EXPECT_EQ(w.timers.size(), 0u);
+    for (int socket : sockets) {
+      if (left.count(socket)) continue;
+      const std::string& out = w.io.ends[socket].out;
+      int answers = 0;
+      for (std::size_t at = 0; (at = out.find("\r\n", at)) != out.npos; at += 2) ++answers;
+      for (std::size_t at = 0; (at = out.find("VA ", at)) != out.npos; at += 3) --answers;
+      EXPECT_EQ(answers, asked[socket]) << "seed " << seed << "\n" << out;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace violetusher::net::test
--- /dev/null
+++ b/tests/net/seam_test.cpp
@@ -0,0 +1,56 @@
+// Time, timers, randomness and sockets reach src/net and src/core through net/io.hpp alone, so that
+// another world can stand behind it. What is looked for here is what would go around it.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <string>
+
+namespace violetusher::net {
+namespace {
+
+namespace fs = std::filesystem;
+
+/// The files that are the system behind the seam, or read files at the start and at a reload.
+const std::set<std::string> kSystem = {"net/system_io.hpp", "net/system_io.cpp",
+                                       "net/operator_file.cpp", "net/flight_file.cpp",
+                                       "net/log_sink.cpp"};
+
+std::string goes_around(const std::string& line) {
+  static const std::regex kCall(
+      R"(((^|[^\w>])::(socket|connect|accept4?|bind|listen|recv|recvmsg|send|sendmsg|read|write|close|poll|shutdown|setsockopt|getsockopt|clock_gettime|gettimeofday|usleep|nanosleep)\s*\()|_clock::now|random_device|\brand\(|sleep_for|std::thread|event2/|\bevent_)");
+  std::smatch found;
+  return std::regex_search(line, found, kCall) ? found.str() : std::string();
+}
+
+TEST(Seam, NothingGoesAroundIt) {
+  int files = 0;
+  for (const char* folder : {"net", "core", "protocol", "policy"})
+    for (const auto& entry :
+         fs::recursive_directory_iterator(fs::path(VIOLETUSHER_SOURCES) / folder)) {
+      if (!entry.is_regular_file()) continue;
+      std::string name = fs::relative(entry.path(), VIOLETUSHER_SOURCES);
+      if (kSystem.count(name)) continue;
+      ++files;
+      std::ifstream file(entry.path());
+      std::string line;
+      for (int number = 1; std::getline(file, line); ++number) {
+        line = line.substr(0, line.find("//"));
+        EXPECT_EQ(goes_around(line), "") << name << ":" << number << ": " << line;
+      }
+    }
+  EXPECT_GT(files, 40);
+}
+
+TEST(Seam, TheSearchFindsWhatItIsFor) {
+  for (const char* line :
+       {"  int fd = ::socket(AF_INET, 0, 0);", "auto t = std::chrono::steady_clock::now();",
+        "std::random_device d;", "  event_add(e, nullptr);", "#include <event2/http.h>"})
+    EXPECT_NE(goes_around(line), "") << line;
+  EXPECT_EQ(goes_around("  io_.connect(address); p_.io.now(); servers_.send(a);"), "");
+}
+
+}  // namespace
+}  // namespace violetusher::net
--- a/tests/net/server_side_test.cpp
+++ b/tests/net/server_side_test.cpp
@@ -27,10 +27,17 @@
 /// open and silent; the other server answers then. The deadline is far away: without a defence of
 /// its own the router would wait for it.
 TEST(BadServers, SpoiltAnswersAreFailedAttempts) {
-  const std::vector<std::string> spoilt = {
-      "\x01\x02\x03\r\n",     "VA five O%\r\nprice\r\n", "VA -1 O% h1\r\nprice\r\n",
-      "VA 3 O% h1\r\nprice\r\n", "VA 9 O% h1\r\nprice\r\n", "VA 3000000000 O% h1\r\nprice",
-      "VA 5 Oother h1\r\nprice\r\n", "VA 5 O% h1", "HD O% c1\r\n", "EN", std::string(5000, 'x')};
+  const std::vector<std::string> spoilt = {"\x01\x02\x03\r\n",
+                                           "VA five O%\r\nprice\r\n",
+                                           "VA -1 O% h1\r\nprice\r\n",
+                                           "VA 3 O% h1\r\nprice\r\n",
+                                           "VA 9 O% h1\r\nprice\r\n",
+                                           "VA 3000000000 O% h1\r\nprice",
+                                           "VA 5 Oother h1\r\nprice\r\n",
+                                           "VA 5 O% h1",
+                                           "HD O% c1\r\n",
+                                           "EN",
+                                           std::string(5000, 'x')};
   for (const std::string& text : spoilt) {
     std::atomic<int> asked{0};
     auto reply = [&](const std::string& line, int) {
@@ -40,9 +47,8 @@
       return at == answer.npos ? answer : answer.replace(at, 1, id_of(line));
     };
     LineServer one(reply), two(reply);
-    RunningRouter router({.dials = {one.address(), two.address()},
-                          .deadline_us = "60000000",
-                          .aim_us = "50000000"});
+    RunningRouter router(
+        {.dials = {one.address(), two.address()}, .deadline_us = "60000000", .aim_us = "50000000"});
     Client client(router.port());
     client.send(read_command("a1", "k1", "60000"));
     EXPECT_EQ(client.line(), "VA 5 Oa1") << text;
@@ -70,16 +76,17 @@
     void on_attempt_end(RequestId, int, Status, Answer&&) override {}
   } ignore;
   EventBasePtr base(event_base_new());
-  Clock clock;
+  SystemIo io(base.get());
+  core::flight::Recorder recorder;
   std::vector<violetusher::ReportField> fields;
-  ServerSide side(base.get(), clock, ignore, {}, &fields);
+  ServerSide side(io, ignore, {}, &fields, recorder);
   for (int k = 0; k < 50; ++k) {
     std::string id = "s-" + std::to_string(k);
     side.take_list(parse_host_list(host_list("2", {host_entry(id, "127.0.0.1:9")}, false)));
     EXPECT_EQ(side.pools(), 1u);
-    side.take_list(parse_host_list(
-        k % 2 ? host_list("3", {host_entry(id, "127.0.0.1:9", "left")}, false)
-              : host_list("3", {}, true)));
+    side.take_list(
+        parse_host_list(k % 2 ? host_list("3", {host_entry(id, "127.0.0.1:9", "left")}, false)
+                              : host_list("3", {}, true)));
     EXPECT_EQ(side.pools(), 0u);
   }
 }
@@ -89,7 +96,7 @@
   explicit Driven(const LineServer& cache, std::size_t per_server) {
     ServerSide::Limits limits;
     limits.per_server = per_server;
-    side = std::make_unique<ServerSide>(base.get(), clock, *this, limits, &fields);
+    side = std::make_unique<ServerSide>(io, *this, limits, &fields, recorder);
     side->take_list(parse_host_list(host_list("2", {host_entry("s-0", cache.address())})));
   }
   void on_attempt_end(RequestId id, int, Status status, Answer&&) override { ended[id] = status; }
@@ -112,7 +119,8 @@
   }
 
   EventBasePtr base{event_base_new()};
-  Clock clock;
+  SystemIo io{base.get()};
+  core::flight::Recorder recorder;
   std::vector<violetusher::ReportField> fields;
   std::map<RequestId, Status> ended;
   std::unique_ptr<ServerSide> side;
@@ -212,9 +220,8 @@
 /// Protects against: live servers judged dead, and a retry budget spent, as kept connections break
 /// when they are used again. Each connection of the one cache serves a single request.
 TEST(BadServers, KeptConnectionsThatBreakTellNothingOfTheServer) {
-  LineServer breaks([](const std::string& line, int number) {
-    return number % 2 ? kClose : value_for(line);
-  });
+  LineServer breaks(
+      [](const std::string& line, int number) { return number % 2 ? kClose : value_for(line); });
   LineServer good(good_cache);
   RunningRouter router({.dials = {breaks.address(), good.address()}});
   Client client(router.port());
--- /dev/null
+++ b/tests/net/timers_test.cpp
@@ -0,0 +1,85 @@
+// Timers against a model that sorts: same order, whatever is set, cancelled and rung in between.
+#include "net/timers.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+namespace violetusher::net {
+namespace {
+
+using Due = Timers::Due;
+
+TEST(Timers, RingInTheOrderOfTheirTimesAndOfSetting) {
+  Timers timers;
+  for (std::uint64_t token : {1, 2, 3}) timers.set(20, {.token = token});
+  timers.set(10, {.token = 4});
+  EXPECT_EQ(timers.next(), 10);
+  std::vector<std::uint64_t> rung;
+  Due due;
+  EXPECT_FALSE(timers.take(9, due));
+  while (timers.take(20, due)) rung.push_back(due.token);
+  EXPECT_EQ(rung, (std::vector<std::uint64_t>{4, 1, 2, 3}));
+  EXPECT_EQ(timers.next(), std::nullopt);
+}
+
+TEST(Timers, ACancelledOneLeavesAtOnceAndItsHandleNamesNoOther) {
+  Timers timers;
+  Timers::Handle a = timers.set(10, {.token = 1}), kept = a;
+  timers.cancel(a);
+  EXPECT_EQ(a, 0u);
+  EXPECT_EQ(timers.size(), 0u);
+  Timers::Handle b = timers.set(10, {.token = 2});  // in the same place
+  timers.cancel(kept);
+  EXPECT_EQ(timers.size(), 1u);
+  Due due;
+  ASSERT_TRUE(timers.take(10, due));
+  EXPECT_EQ(due.token, 2u);
+  timers.cancel(b);  // has rung
+  EXPECT_EQ(timers.size(), 0u);
+}
+
+TEST(Timers, KeepWhatAModelKeeps) {
+  std::mt19937_64 draws(20261201);
+  Timers timers;
+  std::map<std::pair<Micros, std::uint64_t>, Timers::Handle> model;  // by time and order of setting
+  Micros now = 0;
+  std::uint64_t token = 0;
+  for (int step = 0; step < 200'000; ++step) {
+    switch (draws() % 4) {
+      case 0:
+      case 1: {
+        Micros at = now + static_cast<Micros>(draws() % 500);
+        std::uint64_t mine = token++;
+        model[{at, mine}] = timers.set(at, {.token = mine});
+        break;
+      }
+      case 2: {
+        if (model.empty()) break;
+        auto it = model.lower_bound({now + static_cast<Micros>(draws() % 500), 0});
+        if (it == model.end()) it = model.begin();
+        timers.cancel(it->second);
+        model.erase(it);
+        break;
+      }
+      default: {
+        now += static_cast<Micros>(draws() % 20);
+        Due due;
+        while (timers.take(now, due)) {
+          ASSERT_FALSE(model.empty());
+          ASSERT_EQ(due.token, model.begin()->first.second);
+          ASSERT_LE(model.begin()->first.first, now);
+          model.erase(model.begin());
+        }
+        ASSERT_TRUE(model.empty() || model.begin()->first.first > now);
+      }
+    }
+    ASSERT_EQ(timers.size(), model.size());
+    ASSERT_EQ(timers.next(),
+              model.empty() ? std::nullopt : std::optional(model.begin()->first.first));
+  }
+}
+
+}  // namespace
+}  // namespace violetusher::net
