--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -328,9 +328,21 @@
   tell_outcome(*open, a.attempt, status, nullptr);
 }
 
+/// A timer of a request goes with it: the module would be called for nothing, and at a high rate what
+/// waits for deadlines long past is most of what there is.
+void RequestCore::remind(std::uint32_t module, const violetusher::Timer& a) {
+  OpenRequest* open = a.request ? table_.find(a.request) : nullptr;
+  if (a.request && !open) return;
+  Timers::Handle timer =
+      p_.timers.set(p_.io.now() + a.after,
+                    {.kind = Timers::Due::Kind::kModule, .module = module, .token = a.token});
+  if (open) open->asked.push_back(timer);
+}
+
 void RequestCore::forget_if_done(OpenRequest& open) {
   if (!open.done()) return;
   p_.timers.cancel(open.expiry);
+  for (Timers::Handle& timer : open.asked) p_.timers.cancel(timer);
   note(Kind::kForgotten, open.id);
   p_.pools.leave(open.module, p_.io.now());
   table_.erase(open);
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -39,6 +39,7 @@
   void refuse(const violetusher::Refuse& a);
   void fail(const violetusher::Fail& a);
   void cancel(const violetusher::Cancel& a);
+  void remind(std::uint32_t module, const violetusher::Timer& a);
 
   /// What the module is told of a request; false where that has become pointless.
   bool describe(RequestId id, violetusher::Request& request);
--- a/src/net/request_table.hpp
+++ b/src/net/request_table.hpp
@@ -35,6 +35,7 @@
   std::shared_ptr<core::Traffic> traffic;  ///< none where no operator file is in use
   core::Traffic::Ticket ticket;
   Timers::Handle expiry = 0;
+  std::vector<Timers::Handle> asked;  ///< timers that its module has set for it
 
   bool answered() const { return !owed; }
   /// Nothing is owed, told or out any more.
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -209,9 +209,7 @@
     if (auto* a = std::get_if<violetusher::Refuse>(&action)) core_.refuse(*a);
     if (auto* a = std::get_if<violetusher::Fail>(&action)) core_.fail(*a);
     if (auto* a = std::get_if<violetusher::Cancel>(&action)) core_.cancel(*a);
-    if (auto* a = std::get_if<violetusher::Timer>(&action))
-      timers_.set(io_.now() + a->after,
-                  {.kind = Timers::Due::Kind::kModule, .module = module, .token = a->token});
+    if (auto* a = std::get_if<violetusher::Timer>(&action)) core_.remind(module, *a);
     // The list is asked for on behalf of all pools by the one that has all of it. A module's Probe
     // is let be: no site that the module was made for allows it.
     if (module != PoolSet::kWhole) continue;
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -730,7 +730,7 @@
   }
 
   void timer(Micros after, RequestId id, TimerKind kind) {
-    out.push_back(Timer{std::max<Micros>(after, 1), id << 2 | kind});
+    out.push_back(Timer{std::max<Micros>(after, 1), id << 2 | kind, kind == kAskTimer ? 0 : id});
   }
 
   /// With `fault` it ends for a reason that tells nothing of load, so the doors don't count it.
