Structured logs: text as today, logfmt or JSON by the operator file, never waited for

Events went to standard error by fprintf, which waits for a pipe's reader and passes on whatever bytes came from outside.

--- a/src/core/config/compile.cpp
+++ b/src/core/config/compile.cpp
@@ -351,6 +351,23 @@
       for (const auto& [key, node] : record.settings) place.keys[key] = node->value.at;
       places_[std::string(kind) + " " + name] = place;
       if (kind == "listener") m.listeners[name] = {r.text("address")};
+      if (kind == "log") {
+        Log& l = m.logs[name] = {r.text("format"), r.text("level")};
+        if (l.level.empty()) l.level = "info";
+        auto among = [&](const char* key, const std::string& value, const char* choices) {
+          if (value.empty() ||
+              (" " + std::string(choices) + " ").find(" " + value + " ") != std::string::npos)
+            return;
+          const Value* v = r.find(key);
+          out_.diagnostics.add(v->at, "'" + value + "' is no " + key + " of a log",
+                               "one of: " + std::string(choices), v->length);
+        };
+        among("format", l.format, "text logfmt json");
+        among("level", r.text("level"), "info warn error");
+        if (m.logs.size() > 1)
+          out_.diagnostics.add(record.node->at, "a second log", "one process has one",
+                               record.node->length);
+      }
       if (kind == "recorder") {
         m.recorders[name] = {r.text("file"), r.integer("size", 0)};
         if (m.recorders.size() > 1)
--- a/src/core/config/diff.cpp
+++ b/src/core/config/diff.cpp
@@ -186,6 +186,14 @@
   compare(
       "listener", before.listeners, after.listeners,
       [&](const Listener& l, bool) { return l.address; }, out);
+  if (before.logs != after.logs) {
+    auto text = [](const Model& m) {
+      Log l = m.logs.empty() ? Log() : m.logs.begin()->second;
+      return l.format + ", from " + l.level;
+    };
+    if (text(before) != text(after))
+      out.push_back({"log", "log", text(before) + " -> " + text(after), {}});
+  }
   if (before.recorders != after.recorders) {
     auto text = [](const Model& m) {
       if (m.recorders.empty()) return std::string("off");
--- a/src/core/config/model.hpp
+++ b/src/core/config/model.hpp
@@ -76,6 +76,13 @@
   bool operator==(const Recorder&) const = default;
 };
 
+/// How the process writes its log.
+struct Log {
+  std::string format = "text";  ///< text, logfmt or json
+  std::string level = "info";   ///< info, warn or error
+  bool operator==(const Log&) const = default;
+};
+
 struct Model {
   std::int64_t version = 1;
   std::map<std::string, Listener> listeners;
@@ -86,6 +93,7 @@
   std::map<std::string, Pool> pools;
   std::map<std::string, Route> routes;        ///< none: requests go as without an operator file
   std::map<std::string, Recorder> recorders;  ///< one at most
+  std::map<std::string, Log> logs;            ///< one at most
   bool operator==(const Model&) const = default;
 };
 
--- a/src/core/config/schema.cpp
+++ b/src/core/config/schema.cpp
@@ -52,6 +52,9 @@
     {.key = "file", .type = Type::kText, .required = true},
     {.key = "size", .type = Type::kSize, .required = true, .low = 65536, .high = 1073741824}};
 
+constexpr KeyRule kLog[] = {{.key = "format", .type = Type::kName, .required = true},
+                            {.key = "level", .type = Type::kName}};
+
 constexpr SectionRule kSections[] = {
     {.kind = "listener", .keys = kListener},
     {.kind = "class", .keys = kClass},
@@ -61,7 +64,8 @@
     {.kind = "pool", .keys = kPool},
     {.kind = "shares", .keys = kShares, .named = false, .below = "pool", .free_keys = true},
     {.kind = "route", .keys = kRoute},
-    {.kind = "recorder", .keys = kRecorder}};
+    {.kind = "recorder", .keys = kRecorder},
+    {.kind = "log", .keys = kLog}};
 
 struct Unit {
   std::string_view name;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include <cstring>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "net/flight_file.hpp"
 #include "net/operator_file.hpp"
@@ -13,6 +14,8 @@
 
 namespace {
 
+using namespace violetusher::net;
+
 constexpr int kWrongInput = 2;
 
 int complain(const std::string& what) {
@@ -28,7 +31,6 @@
 
 /// Reads everything, says what is wrong, and starts nothing.
 int check(const std::string& operator_file) {
-  using namespace violetusher::net;
   try {
     bool has_config = std::getenv("NODE_CONFIG") != nullptr;
     Config config;
@@ -44,23 +46,120 @@
   }
 }
 
-/// What SIGHUP needs.
-struct Reload {
-  violetusher::net::Router* router;
-  std::string operator_file;
-  std::map<std::string, violetusher::core::config::Recorder> recorders;  // as at the start
-};
+/// One router and what signals do to it.
+class Daemon {
+ public:
+  Daemon(event_base* base, const Config& config, const std::string& operator_file)
+      : io_(base),
+        log_(sink_),
+        name_(config.name),
+        operator_file_(operator_file),
+        router_(io_, config, log_) {
+    if (operator_file.empty()) return;
+    auto model = load_operator_file(operator_file, &config);
+    recorders_ = model.recorders;
+    if (!model.recorders.empty()) record(model.recorders.begin()->second);
+    use(std::move(model));
+  }
+
+  /// Runs until a signal ends it. The exit code.
+  int run(event_base* base, const std::string& listen) {
+    std::string error;
+    if (!router_.listen(error)) {
+      say(Log::Level::kError, "listen-failed", "listen " + listen + ": " + error);
+      return 1;
+    }
+    on(base, SIGTERM, [](evutil_socket_t, short, void* d) { self(d).router_.stop(); });
+    on(base, SIGINT, [](evutil_socket_t, short, void* d) { self(d).router_.stop(); });
+    on(base, SIGHUP, [](evutil_socket_t, short, void* d) { self(d).reload(); });
+    on(base, SIGUSR2, [](evutil_socket_t, short, void* d) { self(d).copy(); });
+    std::string host = listen.substr(0, listen.rfind(':'));
+    say(Log::Level::kInfo, "listening",
+        name_ + " listens on " + host + ":" + std::to_string(router_.port()));
+    router_.run();
+    return 0;
+  }
+
+ private:
+  static Daemon& self(void* daemon) { return *static_cast<Daemon*>(daemon); }
+
+  void on(event_base* base, int signal, event_callback_fn call) {
+    signals_.emplace_back(evsignal_new(base, signal, call, this));
+    event_add(signals_.back().get(), nullptr);
+  }
+
+  void say(Log::Level level, std::string_view event, const std::string& text) {
+    log_.write(io_.now(), level, event, text, {{"router", std::string_view(name_)}});
+  }
+
+  void record(const violetusher::core::config::Recorder& recorder) {
+    flight_ = std::make_unique<FlightFile>(recorder.file, static_cast<std::size_t>(recorder.size),
+                                           name_, io_.now());
+    router_.record(&flight_->ring(), [this](const char* what) {
+      if (flight_->copy(what, io_.now(), false))
+        say(Log::Level::kWarn, "recorder-alert",
+            std::string("recorder: ") + what + ": a copy was put beside the recording");
+    });
+  }
+
+  void use(violetusher::core::config::Model model) {
+    violetusher::core::config::Log log;
+    if (!model.logs.empty()) log = model.logs.begin()->second;
+    using violetusher::core::log::Format;
+    log_.set(log.format == "json"     ? Format::kJson
+             : log.format == "logfmt" ? Format::kLogfmt
+                                      : Format::kText,
+             log.level == "error"  ? Log::Level::kError
+             : log.level == "warn" ? Log::Level::kWarn
+                                   : Log::Level::kInfo);
+    router_.operate(std::move(model));
+  }
+
+  /// Never ends the router: what goes wrong is logged, and all goes on as before.
+  void reload() {
+    try {
+      Config config = reload_config();
+      // Both are read before either is used: a bad one changes nothing.
+      if (operator_file_.empty()) {
+        router_.reload(config);
+        return;
+      }
+      auto model = load_operator_file(operator_file_, &config);
+      if (model.recorders != recorders_)
+        say(Log::Level::kWarn, "reload-needs-restart", "reload: recorder differs: needs a restart");
+      router_.reload(config);
+      use(std::move(model));
+    } catch (const std::exception& e) {
+      say(Log::Level::kError, "reload-refused",
+          std::string("reload: ") + e.what() + "; the old configuration is kept");
+    }
+  }
 
-/// What SIGUSR2 needs.
-struct Copying {
-  violetusher::net::FlightFile* file;  // none where nothing is recorded
-  violetusher::net::Io* io;
+  void copy() {
+    if (!flight_) {
+      say(Log::Level::kWarn, "recorder-off",
+          "SIGUSR2: nothing is recorded; see 'recorder' in the operator file");
+    } else if (flight_->copy("asked", io_.now(), true)) {
+      say(Log::Level::kInfo, "recorder-copied", "recorder: a copy was put beside the recording");
+    } else {
+      say(Log::Level::kError, "recorder-copy-failed",
+          "recorder: the recording could not be copied");
+    }
+  }
+
+  SystemIo io_;
+  DescriptorSink sink_;
+  Log log_;
+  std::string name_, operator_file_;
+  std::map<std::string, violetusher::core::config::Recorder> recorders_;  // as at the start
+  std::unique_ptr<FlightFile> flight_;
+  Router router_;
+  std::vector<EventPtr> signals_;
 };
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  using namespace violetusher::net;
   std::string operator_file;
   bool only_check = false;
   for (int k = 1; k < argc; ++k) {
@@ -83,66 +182,7 @@
     event_config_set_flag(options.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
     EventBasePtr base(event_base_new_with_config(options.get()));
     if (!base) return complain("no event base");
-    SystemIo io(base.get());
-    Router router(io, config);
-    std::unique_ptr<FlightFile> flight;
-    Reload reload{&router, operator_file, {}};
-    if (!operator_file.empty()) {
-      auto model = load_operator_file(operator_file, &config);
-      reload.recorders = model.recorders;
-      if (!model.recorders.empty()) {
-        const auto& recorder = model.recorders.begin()->second;
-        flight = std::make_unique<FlightFile>(
-            recorder.file, static_cast<std::size_t>(recorder.size), config.name, io.now());
-        router.record(&flight->ring(), [&](const char* what) {
-          if (flight->copy(what, io.now(), false))
-            complain(std::string("recorder: ") + what + ": a copy was put beside the recording");
-        });
-      }
-      router.operate(std::move(model));
-    }
-    std::string error;
-    if (!router.listen(error)) return complain("listen " + config.listen + ": " + error);
-    auto on_signal = [](evutil_socket_t, short, void* r) { static_cast<Router*>(r)->stop(); };
-    EventPtr term(evsignal_new(base.get(), SIGTERM, on_signal, &router));
-    // A reload never ends the router: what goes wrong in it is logged, and all goes on as before.
-    auto on_reload = [](evutil_socket_t, short, void* at) {
-      auto* r = static_cast<Reload*>(at);
-      try {
-        Config config = reload_config();
-        // Both are read before either is used: a bad one changes nothing.
-        if (r->operator_file.empty()) {
-          r->router->reload(config);
-          return;
-        }
-        auto model = load_operator_file(r->operator_file, &config);
-        if (model.recorders != r->recorders) complain("reload: recorder differs: needs a restart");
-        r->router->reload(config);
-        r->router->operate(std::move(model));
-      } catch (const std::exception& e) {
-        complain(std::string("reload: ") + e.what() + "; the old configuration is kept");
-      }
-    };
-    EventPtr hang_up(evsignal_new(base.get(), SIGHUP, on_reload, &reload));
-    event_add(hang_up.get(), nullptr);
-    Copying copying{flight.get(), &io};
-    auto on_copy = [](evutil_socket_t, short, void* at) {
-      auto* c = static_cast<Copying*>(at);
-      bool done = c->file && c->file->copy("asked", c->io->now(), true);
-      complain(!c->file ? "SIGUSR2: nothing is recorded; see 'recorder' in the operator file"
-               : done   ? "recorder: a copy was put beside the recording"
-                        : "recorder: the recording could not be copied");
-    };
-    EventPtr copy(evsignal_new(base.get(), SIGUSR2, on_copy, &copying));
-    event_add(copy.get(), nullptr);
-    EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
-    event_add(term.get(), nullptr);
-    event_add(interrupt.get(), nullptr);
-    std::string host = config.listen.substr(0, config.listen.rfind(':'));
-    std::fprintf(stderr, "violetusher: %s listens on %s:%u\n", config.name.c_str(), host.c_str(),
-                 static_cast<unsigned>(router.port()));
-    router.run();
-    return 0;
+    return Daemon(base.get(), config, operator_file).run(base.get(), config.listen);
   } catch (const std::exception& e) {
     return complain(e.what());
   }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -1,7 +1,6 @@
 #include "discovery.hpp"
 
 #include <cctype>
-#include <cstdio>
 #include <cstring>
 
 namespace violetusher::net {
@@ -33,21 +32,13 @@
   return result;
 }
 
-std::optional<HostList> list_of(const std::optional<std::string>& body) {
-  if (!body) return std::nullopt;
-  try {
-    return parse_host_list(*body);
-  } catch (const ConfigError& e) {
-    std::fprintf(stderr, "violetusher: discovery: %s\n", e.what());
-    return std::nullopt;
-  }
-}
-
 }  // namespace
 
 Discovery::Discovery(Io& io, const std::string& address, const std::string& version, bool insist,
-                     Handler& handler)
-    : handler_(handler),
+                     Handler& handler, Log& log)
+    : io_(io),
+      handler_(handler),
+      log_(log),
       address_(address),
       insist_(insist),
       version_(version),
@@ -57,6 +48,17 @@
   if (insist_) watch();
 }
 
+std::optional<HostList> Discovery::list_of(const std::optional<std::string>& body) {
+  if (!body) return std::nullopt;
+  try {
+    return parse_host_list(*body);
+  } catch (const ConfigError& e) {
+    log_.write(io_.now(), Log::Level::kWarn, "discovery-bad-list",
+               std::string("discovery: ") + e.what(), {{"address", std::string_view(address_)}});
+    return std::nullopt;
+  }
+}
+
 void Discovery::watch() {
   renewing_ = false;
   call();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -7,6 +7,7 @@
 
 #include "config.hpp"
 #include "io.hpp"
+#include "log.hpp"
 
 namespace violetusher::net {
 
@@ -21,7 +22,7 @@
   /// `insist`: watch from the start and begin again after failures without being asked to, for
   /// sites where lists are pushed.
   Discovery(Io& io, const std::string& address, const std::string& version, bool insist,
-            Handler& handler);
+            Handler& handler, Log& log);
   /// Begins a watch, anew where one is under way.
   void watch();
   /// Asks for the whole list once.
@@ -36,7 +37,11 @@
   void watched(std::optional<HostList> list);
   void fetched(std::optional<HostList> list);
 
+  std::optional<HostList> list_of(const std::optional<std::string>& body);
+
+  Io& io_;
   Handler& handler_;
+  Log& log_;
   std::string address_;
   bool insist_;
   std::string version_;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -1,7 +1,6 @@
 #include "router.hpp"
 
 #include <algorithm>
-#include <cstdio>
 
 namespace violetusher::net {
 namespace {
@@ -59,15 +58,16 @@
 
 }  // namespace
 
-Router::Router(Io& io, const Config& config)
+Router::Router(Io& io, const Config& config, Log& log)
     : io_(io),
       config_(config),
+      log_(log),
       pools_(config_, *this, io.now()),
       core_({io, config_, pools_, timers_, feed_, clients_, servers_, recorder_},
             table_bounds(config)),
       clients_(io, core_, client_limits(config)),
       servers_(io, core_, server_limits(config), &config_.settings.report_fields, recorder_),
-      discovery_(io, config.discovery, config.known.version, !config.settings.must_ask, *this),
+      discovery_(io, config.discovery, config.known.version, !config.settings.must_ask, *this, log),
       alarm_(io.alarm([this] { armed_at_ = 0; })),  // run() rings what is due
       stop_alarm_(io.alarm([this] { stop_step(); })) {
   servers_.take_list(config_.known);
@@ -133,19 +133,24 @@
 }
 
 void Router::reload(const Config& config) {
-  auto differs = [](const char* what) {
-    std::fprintf(stderr, "violetusher: reload: %s differs: needs a restart\n", what);
+  Micros now = io_.now();
+  auto differs = [&](std::string_view what) {
+    log_.write(now, Log::Level::kWarn, "reload-needs-restart",
+               "reload: " + std::string(what) + " differs: needs a restart", {{"setting", what}});
   };
+  std::string_view address = config.discovery;
   if (!parse_address(config.discovery)) {
-    std::fprintf(stderr, "violetusher: reload: discovery: no address: '%s'; the old one is kept\n",
-                 config.discovery.c_str());
+    log_.write(now, Log::Level::kError, "reload-bad-discovery",
+               "reload: discovery: no address: '" + config.discovery + "'; the old one is kept",
+               {{"address", address}});
     return;
   }
   if (config.listen != config_.listen) differs("listen");
   if (config.memory_bytes != config_.memory_bytes || config.sockets != config_.sockets)
     differs("limits");
   if (config.settings_text != config_.settings_text) differs("settings");
-  std::fprintf(stderr, "violetusher: reload: discovery at %s\n", config.discovery.c_str());
+  log_.write(now, Log::Level::kInfo, "reload-discovery", "reload: discovery at " + config.discovery,
+             {{"address", address}});
   config_.discovery = config.discovery;
   discovery_.move(config.discovery);
 }
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -11,6 +11,7 @@
 #include "core/flight/ring.hpp"
 #include "discovery.hpp"
 #include "io.hpp"
+#include "log.hpp"
 #include "module_feed.hpp"
 #include "pool_set.hpp"
 #include "request_core.hpp"
@@ -22,7 +23,7 @@
 class Router final : Discovery::Handler, PoolSet::Handler {
  public:
   /// Throws ConfigError when the configuration can't be used.
-  Router(Io& io, const Config& config);
+  Router(Io& io, const Config& config, Log& log);
 
   /// False with the reason in `error`.
   bool listen(std::string& error);
@@ -70,6 +71,7 @@
 
   Io& io_;
   Config config_;
+  Log& log_;
   core::flight::Recorder recorder_;
   Timers timers_;
   ModuleFeed feed_;
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -244,7 +244,9 @@
     thread_ = std::thread([this, &ready] {
       EventBasePtr base(event_base_new());
       SystemIo io(base.get());
-      Router router(io, config_);
+      DescriptorSink sink;
+      Log log(sink);
+      Router router(io, config_, log);
       router_ = &router;
       std::string error;
       EXPECT_TRUE(router.listen(error)) << error;
