--- a/src/core/log/line.cpp
+++ b/src/core/log/line.cpp
@@ -63,7 +63,7 @@
   std::time_t seconds = static_cast<std::time_t>(unix_time / 1'000'000);
   std::tm parts{};
   ::gmtime_r(&seconds, &parts);
-  char text[40], whole[48];
+  char text[40], whole[64];
   std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
   std::snprintf(whole, sizeof whole, "%s.%06dZ", text, static_cast<int>(unix_time % 1'000'000));
   return whole;
