--- a/src/core/flight/recording.cpp
+++ b/src/core/flight/recording.cpp
@@ -11,8 +11,12 @@
   std::size_t place;  // in the file, from 1
 };
 
+// Times and values of a recording that was written are far below: sums of some of them fit.
+constexpr std::int64_t kMostFigure = std::int64_t{1} << 52;
+
 bool known(const Record& r) {
-  return r.kind != Kind::kNone && static_cast<std::uint8_t>(r.kind) <= kMostKind &&
+  return r.at >= 0 && r.at < kMostFigure && r.value > -kMostFigure && r.value < kMostFigure &&
+         r.kind != Kind::kNone && static_cast<std::uint8_t>(r.kind) <= kMostKind &&
          static_cast<std::uint8_t>(r.why) <= kMostWhy;
 }
 
--- a/src/core/flight/ring.cpp
+++ b/src/core/flight/ring.cpp
@@ -12,7 +12,7 @@
   header.blocks = blocks_;
   header.started = now;
   header.pid = pid;
-  std::memcpy(header.name, name.data(), std::min(name.size(), sizeof header.name));
+  std::copy_n(name.begin(), std::min(name.size(), sizeof header.name), header.name);
   header.checksum =
       mix(reinterpret_cast<const std::uint64_t*>(&header), sizeof header / 8 - 1, kVersion);
   std::memcpy(memory_.data(), &header, sizeof header);
--- a/src/core/flight/ring.hpp
+++ b/src/core/flight/ring.hpp
@@ -93,7 +93,7 @@
     r.attempt = static_cast<std::int16_t>(attempt);
     r.kind = kind;
     r.why = why;
-    std::memcpy(r.text, text.data(), std::min(text.size(), Record::kText));
+    if (!text.empty()) std::memcpy(r.text, text.data(), std::min(text.size(), Record::kText));
     ring_->put(r);
   }
 
--- a/src/core/flight/timeline.cpp
+++ b/src/core/flight/timeline.cpp
@@ -6,7 +6,8 @@
 namespace violetusher::core::flight {
 namespace {
 
-constexpr int kMostAttempts = 128;  // of one request; more are no recording of ours
+constexpr Micros kLongest = 86'400'000'000;  // a day; longer is no request of ours
+constexpr int kMostAttempts = 128;           // of one request; more are no recording of ours
 
 }  // namespace
 
@@ -36,7 +37,7 @@
 
 Parts Timeline::parts() const {
   Parts p;
-  if (!taken || !answered) return p;
+  if (!taken || answered <= taken || took() > kLongest) return p;
   // The moments at which anything changes cut the time into pieces.
   std::vector<Micros> cuts{taken, answered};
   for (const AttemptLine& a : attempts)
