--- a/src/kit/flight/page.cpp
+++ b/src/kit/flight/page.cpp
@@ -70,10 +70,11 @@
     part(a.sent, written, kConnecting, "waiting for a connection");
     part(written, free, kBehind, "behind others");
     part(free, stop, kServing, "at the server");
-    // Beside the bar, or before it where it ends too far right.
+    // Beside the bar, or in it where it ends too far right.
     bool room = x_of(stop) < kWidth - 130;
     std::string status = a.ended ? core::flight::name_of(a.status) : "open";
-    svg += label(room ? x_of(stop) + 6 : x_of(a.sent) - 6, y + 13, status, room ? "start" : "end");
+    svg += room ? label(x_of(stop) + 6, y + 13, status, "start")
+                : "<g class=\"in\">" + label(x_of(stop) - 6, y + 13, status, "end") + "</g>";
   }
   y += kRow + 12;
   svg +=
--- a/src/kit/rehearse/report.cpp
+++ b/src/kit/rehearse/report.cpp
@@ -132,6 +132,7 @@
     "#e3e8ee;vertical-align:top}"
     "th{color:#5a6878;font-weight:600}.bad td{color:#b23a32;font-weight:600}"
     "svg{width:100%;height:auto;margin:8px 0}svg text{font:11px system-ui,sans-serif;fill:#46525f}"
+    "svg .in text{fill:#fff;font-weight:600}"
     "svg .title{font-size:13px;font-weight:600;fill:#1d2733}.grid{stroke:#e3e8ee}"
     ".mark{fill:#7c5cbf;fill-opacity:.13;stroke:#7c5cbf;stroke-opacity:.35}"
     "svg .marktext{fill:#5b3fa0;font-weight:700}code,pre{font-size:12.5px}pre{overflow:auto}"
