One name for each answer, modules freed once a turn, one copy of a sale's key

Read once more: the words for how a price cache answered stood in the oracle and in the report, and a finding's life left them out, so that it said "ended it:" and nothing. history.hpp has them now. The exchange of a stand-in held a second copy of its command's idempotency key. The router read the clock and looked for modules to free after each event; once a turn is enough, as nothing of a module is under way.

--- a/src/kit/common/history.hpp
+++ b/src/kit/common/history.hpp
@@ -13,6 +13,10 @@
 
 /// How a price cache answered an attempt. A spoilt answer has run.
 enum class Answered { kNothing, kServed, kError, kBusy, kReset, kSpoilt };
+inline const char* name_of(Answered how) {
+  static const char* const kNames[] = {"nothing", "served", "failed", "busy", "reset", "spoilt"};
+  return kNames[static_cast<int>(how)];
+}
 
 /// One command that reached a price cache.
 struct AttemptRecord {
--- a/src/kit/rehearse/command.cpp
+++ b/src/kit/rehearse/command.cpp
@@ -46,8 +46,9 @@
   for (const auto& a : history.attempts) {
     std::string id = standin::request_id(a.request, a.attempt_try);
     if (a.request != kit::kNoRequest && wanted.count(id))
-      far[id].push_back({history.servers[static_cast<std::size_t>(a.server)], "", a.router + 1,
-                         a.first_byte, a.begun, a.made, a.ended});
+      far[id].push_back({history.servers[static_cast<std::size_t>(a.server)],
+                         a.left ? "left" : kit::name_of(a.answered), a.router + 1, a.first_byte,
+                         a.begun, a.made, a.ended});
   }
   std::map<std::string, Result::Life> lives;
   for (std::size_t r = 1; r <= day.routers.halls.size(); ++r)
--- a/src/kit/rehearse/oracle.cpp
+++ b/src/kit/rehearse/oracle.cpp
@@ -111,12 +111,10 @@
 
   /// What became of the attempts, for people.
   std::string told_of(const std::vector<const kit::AttemptRecord*>& attempts) const {
-    static const char* const kHow[] = {"nothing", "served", "failed", "busy", "reset", "spoilt"};
     std::string text;
     for (const auto* a : attempts) {
-      text += (text.empty() ? "" : ", ") + name(a->server) + ": " +
-              kHow[static_cast<int>(a->answered)] + " after " +
-              kit::duration_text(a->ended - a->first_byte);
+      text += (text.empty() ? "" : ", ") + name(a->server) + ": " + kit::name_of(a->answered) +
+              " after " + kit::duration_text(a->ended - a->first_byte);
       if (a->made && a->ended - a->made > kLineWait)
         text += ", of them " + kit::duration_text(a->ended - a->made) + " behind others";
     }
--- a/src/kit/rehearse/report.cpp
+++ b/src/kit/rehearse/report.cpp
@@ -293,13 +293,12 @@
 }
 
 std::string history_lines(const kit::History& h) {
-  static const char* const kHow[] = {"nothing", "served", "failed", "busy", "reset", "spoilt"};
   std::string lines;
   for (const auto& a : h.attempts) {
     if (a.request == kit::kNoRequest) continue;
     lines += Json{{"id", standin::request_id(a.request, a.attempt_try)},
                   {"server", h.servers[static_cast<std::size_t>(a.server)]},
-                  {"answered", a.left ? "left" : kHow[static_cast<int>(a.answered)]},
+                  {"answered", a.left ? "left" : kit::name_of(a.answered)},
                   {"router", a.router + 1},
                   {"first_byte_us", a.first_byte},
                   {"begun_us", a.begun},
--- a/src/kit/standin/connection.cpp
+++ b/src/kit/standin/connection.cpp
@@ -274,7 +274,6 @@
   exchange->command = std::move(command);
   exchange->handshake = first_;
   first_ = false;
-  exchange->idempotency = exchange->command.idempotency;
   exchange->arrived = now;
   kit::AttemptRecord record;
   RequestName name;
--- a/src/kit/standin/connection.hpp
+++ b/src/kit/standin/connection.hpp
@@ -24,7 +24,6 @@
   std::uint64_t token = 0;
   Connection* connection = nullptr;
   protocol::Command command;
-  std::string idempotency;
   std::size_t attempt = kNoRecord;  ///< index into History::attempts
   Micros arrived = 0, begun = 0;
   bool handshake = false;  ///< the first of its connection
--- a/src/kit/standin/price_cache.cpp
+++ b/src/kit/standin/price_cache.cpp
@@ -234,12 +234,14 @@
   double took = static_cast<double>(now - exchange.arrived) / 1000;
   service_ms_ += 0.1 * (took - service_ms_);
   if (exchange.command.set) {
-    std::string receipt = "r" + std::to_string(kit::hash_of(exchange.idempotency) & 0xffffffffff);
+    std::string receipt =
+        "r" + std::to_string(kit::hash_of(exchange.command.idempotency) & 0xffffffffff);
     bool room = shared_.origin.working() < shared_.origin.cores() ||
                 shared_.origin.waiting() < shared_.spec.origin.waiting;
-    if (!exchange.idempotency.empty()) {
+    if (!exchange.command.idempotency.empty()) {
       // Not remembered unless it runs: the product master has room for it or it fails untouched.
-      auto first = room ? shared_.repeats.seen(now, exchange.idempotency, receipt) : std::nullopt;
+      auto first =
+          room ? shared_.repeats.seen(now, exchange.command.idempotency, receipt) : std::nullopt;
       if (first) {
         record.repeat = true;
         record.value = kit::hash_of(*first);
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -178,7 +178,6 @@
 // ---- modules ----
 
 void Router::settle() {
-  pools_.free_gone(io_.now());
   while (!feed_.empty()) {
     ModuleEvent& event = feed_.take();
     std::uint32_t number = std::visit([](const auto& e) { return e.module; }, event);
@@ -187,8 +186,8 @@
       perform(number, tell(*module->balancer, event));
     if (auto* e = std::get_if<OutcomeEvent>(&event)) core_.told(e->outcome.id);
     if (auto* e = std::get_if<GoneEvent>(&event)) core_.told(e->id);
-    pools_.free_gone(io_.now());
   }
+  pools_.free_gone(io_.now());  // once a turn: no call of a module is under way
 }
 
 violetusher::Actions Router::tell(violetusher::Balancer& balancer, ModuleEvent& event) {
