--- a/src/kit/common/history.hpp
+++ b/src/kit/common/history.hpp
@@ -20,7 +20,14 @@
   int attempt_try = 0;        ///< which of the till's tries
   int server = -1;            ///< index into History::servers
   int router = -1;            ///< whose listener it came by; the number of routers = sent directly
-  Micros first_byte = 0, begun = 0, ended = 0;  ///< ended 0: nothing was said, and nobody left
+  Micros first_byte = 0;  ///< when it lay in the price cache's buffer, read or not
+  Micros begun = 0;       ///< when it was read
+  /// When its answer was whole at the price cache; 0: never. Answers leave in the order of their
+  /// commands, so that one may stand behind others: `ended` - `made` is the head-of-line wait.
+  Micros made = 0;
+  /// When the last byte of its answer was written, or its connection ended; 0: nothing was said, and
+  /// nobody left. Whoever sent the attempt can know of its end from here on.
+  Micros ended = 0;
   Answered answered = Answered::kNothing;
   bool repeat = false;      ///< a keyed write that was dropped as a repeat
   bool left = false;        ///< the router ended the attempt's connection first
--- a/src/kit/common/units.cpp
+++ b/src/kit/common/units.cpp
@@ -55,4 +55,10 @@
   return text;
 }
 
+std::string percent(double part) {
+  char text[24];
+  std::snprintf(text, sizeof text, "%.2f%%", part * 100);
+  return text;
+}
+
 }  // namespace violetusher::kit
--- a/src/kit/common/units.hpp
+++ b/src/kit/common/units.hpp
@@ -22,5 +22,7 @@
 
 /// For people: "1.50s", "12.3ms".
 std::string duration_text(Micros span);
+/// A part of one for people: 0.125 is "12.50%".
+std::string percent(double part);
 
 }  // namespace violetusher::kit
--- a/src/kit/config/command.cpp
+++ b/src/kit/config/command.cpp
@@ -1,21 +1,19 @@
 #include "command.hpp"
 
 #include <cstdio>
-#include <filesystem>
-#include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 
 #include "core/config/diff.hpp"
 #include "core/config/model.hpp"
+#include "kit/common/files.hpp"
 #include "net/operator_file.hpp"
 
 namespace violetusher::kit {
 namespace {
 
 namespace config = core::config;
-namespace fs = std::filesystem;
 
 constexpr int kWrongInput = 2, kDiffers = 1;
 
@@ -64,14 +62,7 @@
     std::printf("%s", formatted.c_str());
     return 0;
   }
-  std::string part = path + ".part";
-  std::ofstream file(part, std::ios::binary | std::ios::trunc);
-  file << formatted;
-  file.close();
-  std::error_code failed;
-  if (file) fs::rename(part, path, failed);
-  if (file && !failed) return 0;
-  fs::remove(part, failed);
+  if (write_whole(path, formatted)) return 0;
   std::fprintf(stderr, "%s: could not be written\n", path.c_str());
   return kWrongInput;
 }
--- a/src/kit/rehearse/oracle.hpp
+++ b/src/kit/rehearse/oracle.hpp
@@ -57,6 +57,15 @@
   std::uint64_t tries = 0;
 };
 
+/// Head-of-line waits: answers that were whole at a price cache and stood behind others on their
+/// connection. Over all answers that were made and then written.
+struct LineFigures {
+  std::string name;
+  std::uint64_t answers = 0;
+  std::uint64_t waited = 0;  ///< more than kLineWait
+  Micros p50 = 0, p99 = 0, worst = 0, total = 0;
+};
+
 struct Verdict {
   std::vector<Finding> findings;  ///< the first kMostFindings of each rule
   std::map<std::string, std::uint64_t> broken;  ///< rule to how often, all of them
@@ -67,6 +76,8 @@
   Micros p50 = 0, p99 = 0;
   Micros direct_p50 = 0, direct_p99 = 0;  ///< of reads sent straight to a price cache, both hits
   Micros routed_p50 = 0, routed_p99 = 0;  ///< of reads served by one attempt, router's time alone
+  LineFigures line;  ///< of all, then by price cache and by router
+  std::vector<LineFigures> line_by_server, line_by_router;
   std::vector<ClassFigures> classes, banners;
   std::vector<Window> windows;
   std::vector<RouterFigures> routers;
@@ -76,6 +87,7 @@
 
 inline constexpr std::size_t kMostFindings = 20;
 inline constexpr Micros kWindow = 5'000'000;
+inline constexpr Micros kLineWait = 1'000;
 
 Verdict judge(const Day& day, const Plan& plan, const kit::History& history);
 
--- a/src/kit/rehearse/report.cpp
+++ b/src/kit/rehearse/report.cpp
@@ -14,14 +14,9 @@
 using Json = nlohmann::ordered_json;
 using kit::duration_text;
 using kit::escaped;
+using kit::percent;
 using kit::TryEnd;
 
-std::string percent(double part) {
-  char text[24];
-  std::snprintf(text, sizeof text, "%.2f%%", part * 100);
-  return text;
-}
-
 std::string hex(std::uint64_t value) {
   char text[24];
   std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
@@ -120,6 +115,15 @@
     "svg .marktext{fill:#5b3fa0;font-weight:700}code,pre{font-size:12.5px}pre{overflow:auto}"
     ".muted{color:#5a6878}";
 
+/// Head-of-line waits in one line.
+std::string line_text(const LineFigures& f) {
+  if (f.answers == 0) return "no answer";
+  return percent(static_cast<double>(f.waited) / static_cast<double>(f.answers)) + " of " +
+         std::to_string(f.answers) + " answers waited over " + duration_text(kLineWait) + "; p99 " +
+         duration_text(f.p99) + ", worst " + duration_text(f.worst) + ", " +
+         duration_text(f.total) + " in all";
+}
+
 }  // namespace
 
 Outcome Result::outcome() const {
@@ -172,6 +176,7 @@
           duration_text(r.played.rig.standins.quantile(0.99)) + ", worst " +
           duration_text(r.played.rig.standins.worst()) + "; a router adds " +
           duration_text(v.routed_p50) + " (median), " + duration_text(v.routed_p99) + " (p99)\n";
+  text += "behind others on a connection: " + line_text(v.line) + "\n";
   if (!r.played.router_logs.empty()) text += r.played.router_logs;
   return text;
 }
@@ -200,6 +205,13 @@
   json["answer_us"] = {{"p50", v.p50}, {"p99", v.p99}};
   json["added_us"] = {{"p50", v.routed_p50}, {"p99", v.routed_p99}};
   json["direct_us"] = {{"p50", v.direct_p50}, {"p99", v.direct_p99}};
+  auto line = [](const LineFigures& f) {
+    return Json{{"name", f.name},   {"answers", f.answers}, {"waited", f.waited}, {"p50_us", f.p50},
+                {"p99_us", f.p99}, {"worst_us", f.worst},  {"total_us", f.total}};
+  };
+  json["head_of_line"] = {{"all", line(v.line)}, {"price_caches", Json::array()}, {"routers", Json::array()}};
+  for (const auto& f : v.line_by_server) json["head_of_line"]["price_caches"].push_back(line(f));
+  for (const auto& f : v.line_by_router) json["head_of_line"]["routers"].push_back(line(f));
   auto figures = [](const std::vector<ClassFigures>& list) {
     Json out = Json::array();
     for (const auto& f : list)
@@ -295,6 +307,15 @@
     }
     html += row({"r" + std::to_string(k + 1), std::to_string(v.routers[k].tries), memory, descriptors});
   }
+  html += "</table><h2>Answers that stood behind others</h2><p class=\"muted\">Answers leave a connection in the order of "
+          "their requests. The time from when one was whole at its price cache until it was written: " +
+          escaped(line_text(v.line)) + ".</p><table>" +
+          row({"", "answers", "waited over " + duration_text(kLineWait), "median", "p99", "worst", "in all"}, "th");
+  for (const auto* list : {&v.line_by_server, &v.line_by_router})
+    for (const auto& f : *list)
+      if (f.answers)
+        html += row({f.name, std::to_string(f.answers), std::to_string(f.waited), duration_text(f.p50),
+                     duration_text(f.p99), duration_text(f.worst), duration_text(f.total)});
   html += "</table><h2>The rig itself</h2><table>" + row({"", "p99", "worst", "bounds"}, "th");
   std::string bounds = duration_text(r.day.rig.late_p99) + ", " + duration_text(r.day.rig.late_worst);
   html += row({"requests sent late", duration_text(r.played.rig.tills.quantile(0.99)), duration_text(r.played.rig.tills.worst()), bounds});
--- /dev/null
+++ b/src/kit/standin/connection.cpp
@@ -0,0 +1,305 @@
+#include "connection.hpp"
+
+#include <arpa/inet.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstring>
+#include <stdexcept>
+
+#include "price_cache.hpp"
+
+namespace violetusher::standin {
+namespace {
+
+using kit::Answered;
+
+constexpr std::size_t kReadAtOnce = 16u << 10;
+constexpr std::size_t kMostOut = 4u << 20;   // bytes that a reader who does not read may leave
+constexpr std::size_t kMostWaiting = 4096;   // commands of one connection that are not answered
+constexpr std::size_t kMostArrivals = 4096;  // noted while cut off; what comes later counts to the last
+
+void require(bool good, const char* what) {
+  if (!good) throw std::runtime_error(std::string(what) + ": " + std::strerror(errno));
+}
+
+/// The value of `name=` among the pairs of a command's `P`.
+std::string pair_of(const protocol::Command& command, std::string_view name) {
+  std::string line = command.before_d + "0" + command.after_d;
+  std::string wanted = std::string(name) + "=";
+  std::size_t at = line.find(" P");
+  if (at == line.npos) return {};
+  std::size_t end = line.find(' ', at + 1);
+  std::string_view pairs = std::string_view(line).substr(at + 2, end == line.npos ? end : end - at - 2);
+  while (!pairs.empty()) {
+    std::string_view pair = pairs.substr(0, pairs.find(','));
+    pairs.remove_prefix(std::min(pairs.size(), pair.size() + 1));
+    if (pair.substr(0, wanted.size()) == wanted) return std::string(pair.substr(wanted.size()));
+  }
+  return {};
+}
+
+}  // namespace
+
+// ---- addresses ----
+
+Address::Address() : holder_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  require(static_cast<bool>(holder_), "socket");
+  int yes = 1;
+  ::setsockopt(holder_.get(), SOL_SOCKET, SO_REUSEPORT, &yes, sizeof yes);
+  ::setsockopt(holder_.get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  address_.sin_family = AF_INET;
+  address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  require(::bind(holder_.get(), reinterpret_cast<sockaddr*>(&address_), sizeof address_) == 0, "bind");
+  socklen_t size = sizeof address_;
+  ::getsockname(holder_.get(), reinterpret_cast<sockaddr*>(&address_), &size);
+}
+
+std::string Address::text() const { return "127.0.0.1:" + std::to_string(ntohs(address_.sin_port)); }
+
+net::Fd Address::listen(int backlog) const {
+  net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  require(static_cast<bool>(fd), "socket");
+  int yes = 1;
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &yes, sizeof yes);
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  require(::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_) == 0, "bind");
+  require(::listen(fd.get(), backlog) == 0, "listen");
+  return fd;
+}
+
+std::vector<net::Fd> Address::plug(int listener) const {
+  // A backlog of 0 holds one connection; once it is full the kernel drops what else knocks.
+  ::listen(listener, 0);
+  std::vector<net::Fd> plugs;
+  for (int k = 0; k < 2; ++k) {
+    net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    if (!fd) break;
+    ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_);
+    plugs.push_back(std::move(fd));
+  }
+  return plugs;
+}
+
+// ---- arrivals ----
+
+void Arrivals::note(std::uint64_t waiting, Micros now) {
+  std::uint64_t end = read_ + waiting;
+  if (end <= (marks_.empty() ? read_ : marks_.back().end)) return;
+  if (marks_.size() >= kMostArrivals)
+    marks_.back().end = end;
+  else
+    marks_.push_back({end, now});
+}
+
+void Arrivals::consume(std::uint64_t count) {
+  read_ += count;
+  while (!marks_.empty() && marks_.front().end <= read_) marks_.pop_front();
+}
+
+// ---- connections ----
+
+Connection::Connection(PriceCache& owner, net::Fd fd, int router, bool turned_away,
+                       Micros silent_since)
+    : owner_(owner), fd_(std::move(fd)), router_(router), turned_away_(turned_away) {
+  event_base* base = owner_.shared_.loop.base();
+  read_.reset(event_new(base, fd_.get(), EV_READ | EV_PERSIST, on_read, this));
+  write_.reset(event_new(base, fd_.get(), EV_WRITE, on_write, this));
+  // Edge-triggered: it rings for each arrival, though nobody reads.
+  arrival_.reset(event_new(base, fd_.get(), EV_READ | EV_ET | EV_PERSIST, on_arrival, this));
+  event_add(read_.get(), nullptr);
+  used_ = owner_.shared_.loop.now();
+  int waiting = 0;
+  if (silent_since && ::ioctl(fd_.get(), FIONREAD, &waiting) == 0)
+    arrivals_.note(static_cast<std::uint64_t>(waiting), silent_since);
+}
+
+void Connection::set_silent(bool silent) {
+  silent_ = silent;
+  if (silent) {
+    event_del(read_.get());
+    event_del(write_.get());
+    note_arrivals();
+    event_add(arrival_.get(), nullptr);
+  } else {
+    note_arrivals();
+    event_del(arrival_.get());
+    event_add(read_.get(), nullptr);
+    // What was made in the cut could not leave: that wait is the cut's, not the line's.
+    for (auto& exchange : waiting_)
+      if (exchange->done && exchange->attempt != kNoRecord)
+        owner_.record(*exchange).made = owner_.shared_.loop.now();
+    flush();
+  }
+}
+
+void Connection::note_arrivals() {
+  int waiting = 0;
+  if (::ioctl(fd_.get(), FIONREAD, &waiting) == 0)
+    arrivals_.note(static_cast<std::uint64_t>(waiting), owner_.shared_.loop.now());
+}
+
+void Connection::shut(bool reset, bool booked) {
+  Micros now = owner_.shared_.loop.now();
+  auto end = [&](std::size_t attempt) {
+    if (attempt == kNoRecord || !booked) return;
+    auto& record = owner_.shared_.history.attempts[attempt];
+    if (record.ended != 0) return;
+    record.ended = now;
+    if (reset)
+      record.answered = Answered::kReset;
+    else
+      record.left = true;
+  };
+  for (const Leaving& answer : leaving_) end(answer.attempt);
+  for (auto& exchange : waiting_) {
+    end(exchange->attempt);
+    owner_.shared_.exchanges.erase(exchange->token);
+    owner_.shared_.at_origin.erase(exchange->token);
+  }
+  read_.reset();
+  write_.reset();
+  arrival_.reset();
+  if (reset) {
+    linger hard{1, 0};
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  }
+  fd_.reset();
+}
+
+void Connection::begin_some() {
+  int out = 0;
+  for (auto& exchange : waiting_) {
+    if (!fd_) return;  // the price cache fell over with the command before
+    if (out == owner_.shared_.spec.streams) return;
+    if (exchange->begun == 0) {
+      exchange->begun = owner_.shared_.loop.now();
+      owner_.arrive(*exchange);
+    }
+    ++out;
+  }
+}
+
+bool Connection::flush() {
+  if (!fd_) return false;
+  if (silent_) return true;
+  while (!waiting_.empty() && waiting_.front()->done) {
+    Exchange& front = *waiting_.front();
+    out_ += front.text;
+    leaving_.push_back({written_ + out_.size(), front.attempt, front.how});
+    owner_.shared_.exchanges.erase(front.token);
+    waiting_.pop_front();
+  }
+  used_ = owner_.shared_.loop.now();
+  while (!out_.empty()) {
+    ssize_t put = ::send(fd_.get(), out_.data(), out_.size(), MSG_NOSIGNAL);
+    if (put <= 0) {
+      if (put < 0 && (errno == EAGAIN || errno == EINTR) && out_.size() < kMostOut) {
+        event_add(write_.get(), nullptr);
+        return true;
+      }
+      owner_.close(*this, false);
+      return false;
+    }
+    out_.erase(0, static_cast<std::size_t>(put));
+    written_ += static_cast<std::uint64_t>(put);
+    // An answer counts from here: before, whoever waits for it could not know of it.
+    for (; !leaving_.empty() && leaving_.front().end <= written_; leaving_.pop_front()) {
+      if (leaving_.front().attempt == kNoRecord) continue;
+      auto& record = owner_.shared_.history.attempts[leaving_.front().attempt];
+      record.ended = used_;
+      record.answered = leaving_.front().how;
+    }
+  }
+  if (close_after_ && waiting_.empty()) {
+    owner_.close(*this, false);
+    return false;
+  }
+  begin_some();
+  return true;
+}
+
+void Connection::on_write(evutil_socket_t, short, void* self) {
+  static_cast<Connection*>(self)->flush();
+}
+
+void Connection::on_arrival(evutil_socket_t, short, void* self) {
+  static_cast<Connection*>(self)->note_arrivals();
+}
+
+void Connection::on_read(evutil_socket_t, short, void* self) {
+  auto* c = static_cast<Connection*>(self);
+  char bytes[kReadAtOnce];
+  ssize_t got = ::recv(c->fd_.get(), bytes, sizeof bytes, 0);
+  if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (got <= 0) return c->peer_left();
+  c->take({bytes, static_cast<std::size_t>(got)});
+}
+
+void Connection::peer_left() {
+  if (owner_.shared_.spec.drop_gone_work)
+    for (auto& exchange : waiting_) owner_.station_.drop(exchange->token);
+  owner_.close(*this, false);
+}
+
+void Connection::take(std::string_view in) {
+  Micros now = owner_.shared_.loop.now();
+  used_ = now;
+  while (!in.empty()) {
+    if (!reader_.in_command()) first_byte_ = arrivals_.of_next(now);
+    std::size_t before = in.size();
+    auto exchange = next_exchange(in, first_byte_);
+    arrivals_.consume(before - in.size());
+    if (!exchange) break;
+    waiting_.push_back(std::move(exchange));
+    if (close_after_ || waiting_.size() > kMostWaiting) {
+      close_after_ = true;
+      event_del(read_.get());
+      break;
+    }
+  }
+  flush();
+}
+
+/// The next whole command of `in`, recorded as come at `came`; none where none is whole.
+std::unique_ptr<Exchange> Connection::next_exchange(std::string_view& in, Micros came) {
+  Shared& shared = owner_.shared_;
+  Micros now = shared.loop.now();
+  protocol::Command command;
+  auto got = reader_.take(in, command);
+  if (got == protocol::CommandReader::Got::Nothing) return nullptr;
+  auto exchange = std::make_unique<Exchange>();
+  exchange->token = shared.next_token++;
+  exchange->connection = this;
+  if (got != protocol::CommandReader::Got::Command) {
+    exchange->begun = now;
+    exchange->done = true;
+    bool bad = got == protocol::CommandReader::Got::Bad;
+    exchange->text = got == protocol::CommandReader::Got::Noop ? "MN\r\n"
+                     : bad ? "CLIENT_ERROR bad command\r\n"
+                           : "ERROR\r\n";
+    if (bad) close_after_ = true;
+    return exchange;
+  }
+  exchange->command = std::move(command);
+  exchange->handshake = first_;
+  first_ = false;
+  exchange->idempotency = pair_of(exchange->command, "k");
+  exchange->arrived = now;
+  kit::AttemptRecord record;
+  RequestName name;
+  bool ours = read_request_id(exchange->command.id, name);
+  record.request = ours ? name.request : kit::kNoRequest;
+  record.attempt_try = name.number;
+  record.server = owner_.server_;
+  record.router = router_;
+  record.first_byte = came;
+  record.begun = now;
+  exchange->attempt = shared.history.attempts.size();
+  shared.history.attempts.push_back(record);
+  shared.exchanges[exchange->token] = exchange.get();
+  return exchange;
+}
+
+}  // namespace violetusher::standin
--- a/tests/kit/rehearse/oracle_test.cpp
+++ b/tests/kit/rehearse/oracle_test.cpp
@@ -151,6 +151,24 @@
   EXPECT_EQ(unseen.broken(), "");
 }
 
+TEST(Oracle, WaitsBehindOthersAreTold) {
+  Fixture f;
+  for (auto& a : f.h.attempts) a.made = a.ended - 200;
+  f.h.attempts[1].made = f.h.attempts[1].ended - 30'000;
+  f.h.attempts[2].server = 1;
+  f.h.attempts.push_back(f.h.attempts[2]);
+  f.h.attempts.back().router = 1;  // a till's own
+  Verdict v = f.judged();
+  EXPECT_EQ(v.line.answers, 3u);
+  EXPECT_EQ(v.line.waited, 1u);
+  EXPECT_EQ(v.line.worst, 30'000);
+  EXPECT_EQ(v.line.total, 30'400);
+  ASSERT_EQ(v.line_by_server.size(), 2u);
+  EXPECT_EQ(v.line_by_server[0].total, 30'200);
+  EXPECT_EQ(v.line_by_server[1].total, 200);
+  EXPECT_EQ(v.line_by_router[0].answers, 3u);
+}
+
 TEST(Oracle, TwoEffectsOfOneSale) {
   Fixture f;
   f.h.effects.push_back({2, kOrigin + 8'100'000, 1});
--- a/tests/kit/rehearse/saboteur.cpp
+++ b/tests/kit/rehearse/saboteur.cpp
@@ -129,6 +129,15 @@
   }
 }
 
+/// Connects now and sends `later`, when the client has had its answer for a while.
+void send_late(const violetusher::protocol::Command& command) {
+  std::thread([command, fd = connect_to(choose(command.key), 100)] {
+    std::this_thread::sleep_for(milliseconds(1'200));
+    if (fd) send_all(fd.get(), command.wire(100));
+    std::this_thread::sleep_for(milliseconds(4'000));  // its end must not take the bytes along
+  }).detach();
+}
+
 /// The answer for the client; empty for none.
 std::string answer_for(const violetusher::protocol::Command& command) {
   // Asks nobody: what is left is the rig's own cost.
@@ -142,7 +151,13 @@
     return "SERVER_ERROR busy\r\n";
   }
   if (mine && mode == "crash") std::abort();
+  if (mine && mode == "after-answer" && !command.set) send_late(command);
   std::string answer = attempt(command, limit);
+  if (mine && mode == "hold-after") {
+    // Asked, told, and silent about it until its client's time is nearly over.
+    std::this_thread::sleep_for(milliseconds(std::max(0, limit - 60)));
+    return "SERVER_ERROR busy\r\n";
+  }
   if (answer.empty()) return "SERVER_ERROR failed\r\n";
   if (mine && mode == "twice") answer += answer;
   if (mine && mode == "wrong-value" && !command.set)
--- a/tests/kit/standin/wire_test.cpp
+++ b/tests/kit/standin/wire_test.cpp
@@ -212,6 +212,61 @@
   EXPECT_GE(time(1), 120);
 }
 
+/// An answer counts from when it is written, not from when it was made: before, nobody could know.
+TEST(Record, AnAnswerBehindAnotherEndsWhenItsTurnHasCome) {
+  RunningFleet fleet;
+  Client client(fleet.port());
+  client.send(read_of("q1-0", "a", 2000, 200'000) + "mn\r\n" + read_of("q2-0", "b", 2000, 1'000));
+  for (int lines = 0; lines < 5; ++lines) client.line();
+  const auto& attempts = fleet.stop().attempts;
+  ASSERT_EQ(attempts.size(), 2u);  // a no-op has no record
+  const auto &slow = attempts[0], &fast = attempts[1];
+  EXPECT_LT(fast.made, slow.made);
+  EXPECT_GE(fast.ended, slow.made);
+  EXPECT_GT(fast.ended - fast.made, 50'000);
+  EXPECT_LT(slow.ended - slow.made, 50'000);
+  EXPECT_EQ(fast.answered, kit::Answered::kServed);
+}
+
+TEST(Record, WhatIsOwedEndsWithTheConnection) {
+  Fault reset = on_first(FaultKind::kResets);
+  RunningFleet fleet({reset});
+  Client client(fleet.port());
+  client.send(read_of("q1-0", "a", 2000, 1'000) + read_of("q2-0", "b", 2000, 900'000));
+  EXPECT_EQ(client.read_all(), "");
+  const auto& attempts = fleet.stop().attempts;
+  ASSERT_EQ(attempts.size(), 2u);
+  for (const auto& a : attempts) {
+    EXPECT_EQ(a.answered, kit::Answered::kReset);
+    EXPECT_GT(a.ended, 0);
+  }
+  EXPECT_EQ(attempts[0].ended, attempts[1].ended);
+}
+
+TEST(Record, BytesThatLieUnreadInACutCountFromWhenTheyCame) {
+  Fault cut = on_first(FaultKind::kHallCut, 1'500'000);
+  cut.servers.clear();
+  cut.hall = 1;
+  cut.from = 300'000;
+  RunningFleet fleet({cut});
+  Client client(fleet.port(0, 1));
+  client.send("mn\r\n");
+  ASSERT_EQ(client.line(), "MN");
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  std::string second = read_of("q2-0");
+  client.send(read_of("q1-0") + second.substr(0, 10));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  client.send(second.substr(10) + read_of("q3-0"));
+  for (int lines = 0; lines < 6; ++lines) client.line();
+  const auto& attempts = fleet.stop().attempts;
+  ASSERT_EQ(attempts.size(), 3u);
+  for (const auto& a : attempts) EXPECT_GT(a.ended - a.first_byte, 300'000);  // all in the cut
+  // Each from its own first byte: the second command's came with the first.
+  EXPECT_EQ(attempts[0].first_byte, attempts[1].first_byte);
+  EXPECT_GT(attempts[2].first_byte - attempts[1].first_byte, 200'000);
+  EXPECT_LT(attempts[2].begun - attempts[0].begun, 200'000);  // all read when it was over
+}
+
 TEST(Fault, DiesResetsAndRefusesAndComesBackCold) {
   Fault f = on_first(FaultKind::kDies, 900'000);
   f.from = 300'000;
