--- a/src/core/config/compile.cpp
+++ b/src/core/config/compile.cpp
@@ -28,7 +28,7 @@
     // Trees must not move while nodes of them are pointed at.
     out_.trees.reserve(kMostFiles + 1);
     read(name, text);
-    for (auto& [file, node] : order_) section(*node, nullptr, records_);
+    for (const Node* node : order_) section(*node, nullptr, records_);
     define();
     resolve();
     build();
@@ -60,7 +60,7 @@
       if (node.kind == Node::Kind::kInclude)
         include(node);
       else if (node.kind == Node::Kind::kBlock)
-        order_.emplace_back(file, &node);
+        order_.push_back(&node);
       else if (node.kind == Node::Kind::kSetting)
         out_.diagnostics.add(node.at, "'" + node.key + "' stands outside of a section", sections_hint(), node.length);
     }
@@ -310,6 +310,12 @@
       for (const auto& [key, node] : record.settings) place.keys[key] = node->value.at;
       places_[std::string(kind) + " " + name] = place;
       if (kind == "listener") m.listeners[name] = {r.text("address")};
+      if (kind == "recorder") {
+        m.recorders[name] = {r.text("file"), r.integer("size", 0)};
+        if (m.recorders.size() > 1)
+          out_.diagnostics.add(record.node->at, "a second recorder", "one process has one",
+                               record.node->length);
+      }
       if (kind == "class") m.classes[name] = {r.integer("attempts", 1), r.integer("worth", 1), r.text("keyed") == "on", r.text("limit")};
       if (kind == "tenant") m.tenants[name] = {r.text("limit")};
       if (kind == "limit") {
@@ -350,7 +356,7 @@
   const Loader& load_;
   std::vector<std::string> chain_;
   std::set<std::string> included_;
-  std::vector<std::pair<std::uint32_t, const Node*>> order_;
+  std::vector<const Node*> order_;
   std::vector<Record> records_;
   std::map<std::string, std::map<std::string, const Node*>> names_;
   std::set<std::pair<const Node*, std::string>> lost_;  // keys that were there but can't be used
--- a/src/core/config/diff.cpp
+++ b/src/core/config/diff.cpp
@@ -166,6 +166,15 @@
   compare("tenant", before.tenants, after.tenants,
           [&](const Tenant& t, bool old) { return "limit " + limit_text(old ? before : after, t.limit); }, out);
   compare("listener", before.listeners, after.listeners, [&](const Listener& l, bool) { return l.address; }, out);
+  if (before.recorders != after.recorders) {
+    auto text = [](const Model& m) {
+      if (m.recorders.empty()) return std::string("off");
+      const Recorder& r = m.recorders.begin()->second;
+      return r.file + ", " + write_figure(Type::kSize, static_cast<double>(r.size));
+    };
+    out.push_back({"recorder", "flight recorder",
+                   text(before) + " -> " + text(after) + " (at the next start)", {}});
+  }
   return out;
 }
 
--- a/src/core/config/diff.hpp
+++ b/src/core/config/diff.hpp
@@ -11,7 +11,8 @@
 
 /// One difference in effect.
 struct Change {
-  std::string kind;     ///< "route", "pool", "limit", "budget", "class", "tenant", "listener"
+  std::string kind;     ///< "route", "pool", "limit", "budget", "class", "tenant", "listener",
+                        ///< "recorder"
   std::string subject;  ///< whom it is about: "class price-lookup, prefix \"a\""
   std::string what;     ///< "goes to pool b instead of a"
   RouteMatch match;     ///< of kind "route": the requests that are concerned
--- a/src/core/config/model.hpp
+++ b/src/core/config/model.hpp
@@ -69,6 +69,13 @@
   bool operator==(const Listener&) const = default;
 };
 
+/// The flight recorder of the process.
+struct Recorder {
+  std::string file;
+  std::int64_t size = 0;  ///< bytes
+  bool operator==(const Recorder&) const = default;
+};
+
 struct Model {
   std::int64_t version = 1;
   std::map<std::string, Listener> listeners;
@@ -77,7 +84,8 @@
   std::map<std::string, Limit> limits;
   std::map<std::string, Budget> budgets;
   std::map<std::string, Pool> pools;
-  std::map<std::string, Route> routes;
+  std::map<std::string, Route> routes;  ///< none: requests go as without an operator file
+  std::map<std::string, Recorder> recorders;  ///< one at most
   bool operator==(const Model&) const = default;
 };
 
--- a/src/core/config/schema.cpp
+++ b/src/core/config/schema.cpp
@@ -45,12 +45,16 @@
                               {.key = "budget", .type = Type::kName, .refers = "budget"}};
 constexpr KeyRule kListener[] = {{.key = "address", .type = Type::kAddress, .required = true}};
 
+constexpr KeyRule kRecorder[] = {
+    {.key = "file", .type = Type::kText, .required = true},
+    {.key = "size", .type = Type::kSize, .required = true, .low = 65536, .high = 1073741824}};
+
 constexpr SectionRule kSections[] = {
     {.kind = "listener", .keys = kListener}, {.kind = "class", .keys = kClass},
     {.kind = "tenant", .keys = kTenant},     {.kind = "limit", .keys = kLimit},
     {.kind = "budget", .keys = kBudget},     {.kind = "pool", .keys = kPool},
     {.kind = "shares", .keys = kShares, .named = false, .below = "pool", .free_keys = true},
-    {.kind = "route", .keys = kRoute}};
+    {.kind = "route", .keys = kRoute},       {.kind = "recorder", .keys = kRecorder}};
 
 struct Unit {
   std::string_view name;
--- a/src/core/flight/ring.cpp
+++ b/src/core/flight/ring.cpp
@@ -8,7 +8,6 @@
 Ring::Ring(std::span<std::byte> memory, std::string_view name, std::int64_t pid, Micros now)
     : memory_(memory), blocks_(memory.size() / kBlock - 1) {
   if (memory.size() < kLeast) throw std::invalid_argument("flight ring: too small");
-  std::fill(memory_.begin(), memory_.end(), std::byte{0});
   FileHeader header;
   header.blocks = blocks_;
   header.started = now;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,7 +3,10 @@
 #include <csignal>
 #include <cstdio>
 #include <cstring>
+#include <map>
+#include <memory>
 
+#include "net/flight_file.hpp"
 #include "net/operator_file.hpp"
 #include "net/router.hpp"
 #include "net/system_io.hpp"
@@ -45,6 +48,13 @@
 struct Reload {
   violetusher::net::Router* router;
   std::string operator_file;
+  std::map<std::string, violetusher::core::config::Recorder> recorders;  // as at the start
+};
+
+/// What SIGUSR2 needs.
+struct Copying {
+  violetusher::net::FlightFile* file;  // none where nothing is recorded
+  violetusher::net::Io* io;
 };
 
 }  // namespace
@@ -75,13 +85,27 @@
     if (!base) return complain("no event base");
     SystemIo io(base.get());
     Router router(io, config);
-    if (!operator_file.empty()) router.operate(load_operator_file(operator_file, &config));
+    std::unique_ptr<FlightFile> flight;
+    Reload reload{&router, operator_file, {}};
+    if (!operator_file.empty()) {
+      auto model = load_operator_file(operator_file, &config);
+      reload.recorders = model.recorders;
+      if (!model.recorders.empty()) {
+        const auto& recorder = model.recorders.begin()->second;
+        flight = std::make_unique<FlightFile>(
+            recorder.file, static_cast<std::size_t>(recorder.size), config.name, io.now());
+        router.record(&flight->ring(), [&](const char* what) {
+          if (flight->copy(what, io.now(), false))
+            complain(std::string("recorder: ") + what + ": a copy was put beside the recording");
+        });
+      }
+      router.operate(std::move(model));
+    }
     std::string error;
     if (!router.listen(error)) return complain("listen " + config.listen + ": " + error);
     auto on_signal = [](evutil_socket_t, short, void* r) { static_cast<Router*>(r)->stop(); };
     EventPtr term(evsignal_new(base.get(), SIGTERM, on_signal, &router));
     // A reload never ends the router: what goes wrong in it is logged, and all goes on as before.
-    Reload reload{&router, operator_file};
     auto on_reload = [](evutil_socket_t, short, void* at) {
       auto* r = static_cast<Reload*>(at);
       try {
@@ -92,6 +116,8 @@
           return;
         }
         auto model = load_operator_file(r->operator_file, &config);
+        if (model.recorders != r->recorders)
+          complain("reload: recorder differs: needs a restart");
         r->router->reload(config);
         r->router->operate(std::move(model));
       } catch (const std::exception& e) {
@@ -100,6 +126,16 @@
     };
     EventPtr hang_up(evsignal_new(base.get(), SIGHUP, on_reload, &reload));
     event_add(hang_up.get(), nullptr);
+    Copying copying{flight.get(), &io};
+    auto on_copy = [](evutil_socket_t, short, void* at) {
+      auto* c = static_cast<Copying*>(at);
+      bool done = c->file && c->file->copy("asked", c->io->now(), true);
+      complain(!c->file ? "SIGUSR2: nothing is recorded; see 'recorder' in the operator file"
+               : done   ? "recorder: a copy was put beside the recording"
+                        : "recorder: the recording could not be copied");
+    };
+    EventPtr copy(evsignal_new(base.get(), SIGUSR2, on_copy, &copying));
+    event_add(copy.get(), nullptr);
     EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
     event_add(term.get(), nullptr);
     event_add(interrupt.get(), nullptr);
--- a/src/kit/main.cpp
+++ b/src/kit/main.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 
 #include "kit/config/command.hpp"
+#include "kit/flight/command.hpp"
 #include "kit/rehearse/command.hpp"
 
 int main(int argc, char** argv) {
@@ -17,6 +18,7 @@
   violetusher::rehearse::add_rehearse(app, argv[0], code);
   violetusher::rehearse::add_standin(app, code);
   violetusher::kit::add_config(app, code);
+  violetusher::kit::add_flight(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- a/src/kit/rehearse/rig.cpp
+++ b/src/kit/rehearse/rig.cpp
@@ -128,6 +128,7 @@
                                 to_tills->post([&, router, alive] { tills_at->set_alive(router, alive); });
                               });
                             });
+  processes.record(options.flight);
   std::vector<std::string> addresses;
   for (int r = 0; r < routers; ++r) addresses.push_back(processes.address(r));
   for (std::size_t s = 0; s < day.fleet.servers.size(); ++s)
--- a/src/kit/rehearse/routers.hpp
+++ b/src/kit/rehearse/routers.hpp
@@ -26,6 +26,8 @@
   ~RouterProcesses();
 
   std::string address(int router) const;
+  /// Routers started from now on record into `folder`, rN.flight; empty = they don't.
+  void record(const std::string& folder) { flight_ = folder; }
   /// Starts all and waits until each has said that it is ready. False with the reason.
   bool start_all(std::string& error);
   /// Events of the day and samples from now on.
@@ -51,6 +53,7 @@
   };
   void spawn(int router);
   std::string config_text(int router) const;
+  std::string operator_text(int router) const;
   bool answers(int router) const;
   void reap();
   void watch();
@@ -61,7 +64,7 @@
   kit::Loop& loop_;
   const Day& day_;
   std::uint64_t seed_;
-  std::string program_;
+  std::string program_, flight_;
   std::vector<Told> told_;
   kit::History& history_;
   std::function<void(int, bool)> changed_;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -83,11 +83,14 @@
 }
 
 void Router::operate(core::config::Model model) {
+  // A file without routes leaves requests to the whole list, as no file does.
+  bool routes = !model.routes.empty();
+  if (!routes && !traffic_) return;
   // What is held of the list may be as old as the start, unless it is the start.
   if (!traffic_ && running_) discovery_.fetch();
   traffic_ = std::make_shared<core::Traffic>(std::move(model), traffic_.get());
   pools_.operate(traffic_);
-  core_.operate(traffic_);
+  core_.operate(routes ? traffic_ : nullptr);
   servers_.take_list(pools_.whole_list());
 }
 
--- /dev/null
+++ b/tests/core/flight/flight_test.cpp
@@ -0,0 +1,224 @@
+// The recorder's ring and its reader: whatever happens to the bytes, what is read was written.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstring>
+#include <random>
+
+#include "core/flight/timeline.hpp"
+
+namespace violetusher::core::flight {
+namespace {
+
+/// A ring in memory, and the records that were put into it.
+struct Written {
+  explicit Written(std::size_t blocks, std::uint64_t count, std::uint64_t seed = 1)
+      : memory((blocks + 1) * kBlock / 8), ring(bytes(), "r1", 42, 1'000) {
+    std::mt19937_64 draws(seed);
+    for (std::uint64_t k = 0; k < count; ++k) {
+      Record r;
+      r.at = 2'000 + static_cast<Micros>(k);
+      r.request = draws() % 50 + 1;
+      r.kind = static_cast<Kind>(draws() % kMostKind + 1);
+      r.attempt = static_cast<std::int16_t>(draws() % 4);
+      r.value = static_cast<std::int64_t>(draws() % 1000);
+      std::string text = "s-" + std::to_string(draws() % 9);
+      std::memcpy(r.text, text.data(), text.size());
+      ring.put(r);
+      records.push_back(r);
+    }
+  }
+  std::span<std::byte> bytes() {
+    return {reinterpret_cast<std::byte*>(memory.data()), memory.size() * 8};
+  }
+  std::vector<std::uint64_t> memory;
+  Ring ring;
+  std::vector<Record> records;
+};
+
+bool same(const Record& a, const Record& b) {
+  Record x = a, y = b;
+  x.check = y.check = 0;
+  return std::memcmp(&x, &y, sizeof x) == 0;
+}
+
+/// Every record read is one that was written, in order.
+void expect_part_of(const std::vector<Record>& read, const std::vector<Record>& written) {
+  std::size_t at = 0;
+  for (const Record& r : read) {
+    while (at < written.size() && !same(written[at], r)) ++at;
+    ASSERT_LT(at, written.size());
+    ++at;
+  }
+}
+
+TEST(Ring, KeepsAllUntilItIsFullAndThenTheLatest) {
+  rc::check("the last whole blocks are read back", [] {
+    auto blocks = *rc::gen::inRange<std::size_t>(2, 6);
+    auto count = *rc::gen::inRange<std::uint64_t>(0, 1000);
+    Written w(blocks, count, *rc::gen::inRange<std::uint64_t>(1, 1u << 30));
+    Recording got;
+    std::string error;
+    RC_ASSERT(read_recording(w.bytes(), got, error));
+    RC_ASSERT(got.problems.empty());
+    RC_ASSERT(got.overwritten == w.ring.overwritten());
+    RC_ASSERT(got.records.size() + got.overwritten == count);
+    for (std::size_t k = 0; k < got.records.size(); ++k)
+      RC_ASSERT(same(got.records[k], w.records[k + got.overwritten]));
+  });
+}
+
+TEST(Ring, SmallerThanOneRequestsEvents) {
+  Written w(2, 0);
+  Recorder recorder;
+  recorder.use(&w.ring);
+  recorder.note(10, Kind::kTaken, 7, -1, 0, 500, "a");
+  for (int k = 0; k < 400; ++k) recorder.note(11 + k, Kind::kSent, 7, k % 4, 1, 0, "s-0");
+  recorder.note(500, Kind::kAnswered, 7);
+  Recording got;
+  std::string error;
+  ASSERT_TRUE(read_recording(w.bytes(), got, error));
+  auto lines = timelines(got);
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_FALSE(lines[0].whole);
+  EXPECT_EQ(lines[0].end, Kind::kAnswered);
+  EXPECT_GT(got.overwritten, 0u);
+}
+
+TEST(Reader, ARecordingCutAtEveryByte) {
+  Written w(3, 150);
+  for (std::size_t size = 0; size <= w.bytes().size(); ++size) {
+    Recording got;
+    std::string error;
+    bool read = read_recording(w.bytes().first(size), got, error);
+    EXPECT_EQ(read, size >= sizeof(FileHeader)) << size;
+    EXPECT_EQ(read, error.empty());
+    if (!read) continue;
+    ASSERT_NO_FATAL_FAILURE(expect_part_of(got.records, w.records)) << size;
+    bool whole = got.records.size() == w.records.size();
+    EXPECT_TRUE(whole || !got.problems.empty()) << size << ": something is missing and nothing said";
+  }
+}
+
+TEST(Reader, FlippedBitsAreToldAndNothingWrongIsRead) {
+  Written w(3, 170);
+  std::mt19937_64 draws(20261201);
+  int told = 0, tries = 4'000;
+  for (int k = 0; k < tries; ++k) {
+    std::vector<std::uint64_t> copy = w.memory;
+    std::span<std::byte> bytes{reinterpret_cast<std::byte*>(copy.data()), copy.size() * 8};
+    std::size_t bit = draws() % (bytes.size() * 8);
+    bytes[bit / 8] ^= std::byte{1} << (bit % 8);
+    Recording got;
+    std::string error;
+    if (!read_recording(bytes, got, error)) {
+      EXPECT_LT(bit / 8, sizeof(FileHeader));
+      ++told;
+      continue;
+    }
+    std::size_t missing = 0, at = 0;
+    for (const Record& r : w.records)
+      if (at < got.records.size() && same(got.records[at], r))
+        ++at;
+      else
+        ++missing;
+    // Behind the last record lie zeros: a flip there can look like a torn record and no more.
+    EXPECT_EQ(at, got.records.size()) << "bit " << bit << ": a record that nobody wrote";
+    EXPECT_TRUE(missing == 0 || !got.problems.empty()) << "bit " << bit;
+    told += !got.problems.empty();
+  }
+  EXPECT_GT(told, tries / 4);
+}
+
+TEST(Reader, OtherFilesAndVersionsAreTurnedAway) {
+  Written w(2, 5);
+  Recording got;
+  std::string error;
+  auto bytes = w.bytes();
+  bytes[8] = std::byte{2};
+  EXPECT_FALSE(read_recording(bytes, got, error));
+  EXPECT_EQ(error, "a recording of version 2; this program reads version 1");
+  bytes[0] ^= std::byte{1};
+  EXPECT_FALSE(read_recording(bytes, got, error));
+  EXPECT_EQ(error, "not a recording of the flight recorder");
+}
+
+TEST(Reader, NeverFailsOnAnyBytes) {
+  std::mt19937_64 draws(7);
+  for (int k = 0; k < 2'000; ++k) {
+    Written w(2, draws() % 150, draws());
+    auto bytes = w.bytes();
+    // Broken records with good checks as well: what is read is not to be trusted by what follows.
+    for (std::uint64_t n = draws() % 20; n > 0; --n) {
+      std::uint64_t place = kRecordsPerBlock + draws() % 20;
+      Record r;
+      std::uint64_t junk[8];
+      for (auto& word : junk) word = draws();
+      std::memcpy(&r, junk, sizeof r);
+      r.kind = static_cast<Kind>(draws() % (kMostKind + 1));
+      r.why = static_cast<Why>(draws() % (kMostWhy + 1));
+      if (draws() % 2) r.request = draws() % 3, r.attempt = static_cast<std::int16_t>(draws() % 200);
+      r.check = check_of(r, place);
+      std::memcpy(bytes.data() + kBlock + sizeof(BlockHeader) + (place - kRecordsPerBlock) * sizeof r, &r,
+                  sizeof r);
+    }
+    Recording got;
+    std::string error;
+    ASSERT_TRUE(read_recording(bytes, got, error));
+    auto lines = timelines(got);
+    stats_of(got, lines);
+    for (const auto& line : lines) line.parts();
+  }
+}
+
+/// A request whose second attempt stood behind another's: the parts say so and add up.
+TEST(Timeline, TellsWhereTheTimeWent) {
+  Written w(2, 0);
+  Recorder recorder;
+  recorder.use(&w.ring);
+  auto ok = static_cast<std::int64_t>(Status::Ok);
+  recorder.note(0, Kind::kTaken, 1, -1, 0, 900, "first");
+  recorder.note(10, Kind::kSent, 1, 0, 5, 0, "s-0");
+  recorder.note(20, Kind::kWritten, 1, 0, 5);
+  recorder.note(100, Kind::kTaken, 2, -1, 0, 900, "second");
+  recorder.note(110, Kind::kSent, 2, 0, 5, 1, "s-0");  // behind the first on connection 5
+  recorder.note(130, Kind::kWritten, 2, 0, 5);
+  recorder.note(400, Kind::kEnd, 1, 0, 0, ok, "s-0");
+  recorder.note(400, Kind::kAnswered, 1);
+  recorder.note(500, Kind::kEnd, 2, 0, 0, ok, "s-0");
+  recorder.note(505, Kind::kAnswered, 2);
+  Recording got;
+  std::string error;
+  ASSERT_TRUE(read_recording(w.bytes(), got, error));
+  auto lines = timelines(got);
+  ASSERT_EQ(lines.size(), 2u);
+  Parts p = lines[1].parts();
+  EXPECT_EQ(p.router, 15);       // before it was sent, and after its end
+  EXPECT_EQ(p.connecting, 20);
+  EXPECT_EQ(p.behind, 270);      // until the first had ended
+  EXPECT_EQ(p.serving, 100);
+  EXPECT_EQ(p.total(), lines[1].took());
+  EXPECT_STREQ(p.largest(), "behind others");
+  EXPECT_EQ(lines[0].parts().behind, 0);
+}
+
+TEST(Timeline, PartsAddUpWhateverOverlaps) {
+  rc::check("the parts of a request are its time", [] {
+    Timeline line;
+    line.taken = 1'000, line.answered = 1'000 + *rc::gen::inRange<Micros>(1, 2'000);
+    auto count = *rc::gen::inRange(0, 5);
+    for (int k = 0; k < count; ++k) {
+      AttemptLine a;
+      a.sent = 1'000 + *rc::gen::inRange<Micros>(0, 2'000);
+      a.written = a.sent + *rc::gen::inRange<Micros>(0, 300);
+      a.head = a.written + *rc::gen::inRange<Micros>(-100, 600);
+      a.ended = *rc::gen::arbitrary<bool>() ? a.written + *rc::gen::inRange<Micros>(0, 900) : 0;
+      if (a.ended) RC_ASSERT(a.connecting() + a.behind() + a.serving() == a.ended - a.sent);
+      line.attempts.push_back(a);
+    }
+    RC_ASSERT(line.parts().total() == line.took());
+  });
+}
+
+}  // namespace
+}  // namespace violetusher::core::flight
