--- a/tests/daemon/reload_test.cpp
+++ b/tests/daemon/reload_test.cpp
@@ -1,8 +1,9 @@
 // Discovery that moves, and configurations that can't be used.
+#include <sys/wait.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
-#include <sys/wait.h>
 
 #include "../net/net_support.hpp"
 
--- a/tests/net/client_side_test.cpp
+++ b/tests/net/client_side_test.cpp
@@ -64,7 +64,7 @@
   EXPECT_EQ(second.read_all(), "CLIENT_ERROR bad command\r\n");
   first.send("");
   EXPECT_EQ(first.line().rfind("SERVER_ERROR", 0), 0u);  // its own time is up, nothing else
-  Client later(router.port());  // and the id is free again
+  Client later(router.port());                           // and the id is free again
   ASSERT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 0; }));
   later.send(read_command("slow", "k1", "50"));
   EXPECT_EQ(later.line().rfind("SERVER_ERROR", 0), 0u);
