--- a/include/violetusher/balancer.hpp
+++ b/include/violetusher/balancer.hpp
@@ -194,6 +194,10 @@
   Balancer(Balancer&&) noexcept;
   Balancer& operator=(Balancer&&) noexcept;
 
+  /// Takes over new settings; what was learnt is kept. Requests that are open keep the rules of the
+  /// class that they came with. Throws std::invalid_argument, and then nothing has changed.
+  void retune(const Settings& settings);
+
   /// Actions owed at the start (asking for the list, the first timer). Call once.
   Actions start(Micros now);
   Actions on_list(Micros now, ListScope scope, const std::vector<Server>& entries);
--- /dev/null
+++ b/src/core/ops/figures.cpp
@@ -0,0 +1,36 @@
+#include "figures.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace violetusher::core::ops {
+
+void Figures::add_class(const std::string& name) {
+  if (classes_.size() < kMaxClasses) classes_.try_emplace(name);
+}
+
+void Figures::count(const std::string& name, End end) {
+  auto it = classes_.find(name);
+  if (it == classes_.end()) return;
+  Counts& c = it->second;
+  ++(end == End::kSuccess ? c.success : end == End::kOverload ? c.overload : c.error);
+}
+
+std::string Figures::json(const Now& now) const {
+  nlohmann::ordered_json all;
+  auto by_class = [&](const char* name, std::uint64_t Counts::*figure) {
+    auto& to = all[name] = nlohmann::ordered_json::object();
+    for (const auto& [type, counts] : classes_) to[type] = counts.*figure;
+  };
+  by_class("success", &Counts::success);
+  by_class("overload", &Counts::overload);
+  by_class("error", &Counts::error);
+  all["dispatches"] = now.dispatches;
+  all["concurrent"] = now.concurrent;
+  all["targets"] = now.targets;
+  all["targets_disabled"] = now.targets_disabled;
+  all["reload_success"] = reload_success_;
+  all["reload_failure"] = reload_failure_;
+  return all.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+}  // namespace violetusher::core::ops
--- /dev/null
+++ b/src/core/ops/figures.hpp
@@ -0,0 +1,41 @@
+// What the router reports of itself: counts since the start, and how it stands now.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace violetusher::core::ops {
+
+class Figures {
+ public:
+  enum class End { kSuccess, kOverload, kError };
+  /// How things stand at the moment of a report.
+  struct Now {
+    std::size_t concurrent = 0;        ///< requests taken and not ended
+    std::size_t targets = 0;           ///< cache servers on the list
+    std::size_t targets_disabled = 0;  ///< of them, those that the router avoids
+    std::uint64_t dispatches = 0;      ///< attempts written whole
+  };
+
+  /// A class is reported from here on, with zeros before its first request. Classes that settings
+  /// drop go on being reported: their counts never fall.
+  void add_class(const std::string& name);
+  /// A request of the class, which add_class() has named, has ended; of another one it is nothing.
+  void count(const std::string& name, End end);
+  void count_reload(bool accepted) { ++(accepted ? reload_success_ : reload_failure_); }
+
+  /// One line of JSON, without its end.
+  std::string json(const Now& now) const;
+
+ private:
+  struct Counts {
+    std::uint64_t success = 0, overload = 0, error = 0;
+  };
+  // Files with ever new classes don't grow it for ever: beyond, new ones go unreported.
+  static constexpr std::size_t kMaxClasses = 1024;
+  std::map<std::string, Counts> classes_;
+  std::uint64_t reload_success_ = 0, reload_failure_ = 0;
+};
+
+}  // namespace violetusher::core::ops
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -116,22 +116,23 @@
   }
 
   /// Never ends the router: what goes wrong is logged, and all goes on as before.
-  void reload() {
+  void reload() { router_.note_reload(take_over()); }
+
+  bool take_over() {
     try {
-      Config config = reload_config();
+      Config config = reload_config(router_.config());
       // Both are read before either is used: a bad one changes nothing.
-      if (operator_file_.empty()) {
-        router_.reload(config);
-        return;
-      }
+      if (operator_file_.empty()) return router_.reload(config);
       auto model = load_operator_file(operator_file_, &config);
       if (model.recorders != recorders_)
         say(Log::Level::kWarn, "reload-needs-restart", "reload: recorder differs: needs a restart");
-      router_.reload(config);
+      if (!router_.reload(config)) return false;
       use(std::move(model));
+      return true;
     } catch (const std::exception& e) {
       say(Log::Level::kError, "reload-refused",
           std::string("reload: ") + e.what() + "; the old configuration is kept");
+      return false;
     }
   }
 
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -114,6 +114,7 @@
   void take(Command&& command) {
     ClientSlot& slot = add_slot();
     if (over_limit_) {
+      side_.handler_.on_turned_away(command);
       side_.answer(Owed(slot), {}, Reply(Reply::Kind::Busy));
       return;
     }
@@ -279,8 +280,18 @@
 
 ClientSide::~ClientSide() = default;
 
+bool ClientSide::adopt(int descriptor, std::string& error) {
+  listener_ = io_.adopt(descriptor, error);
+  shared_ = true;
+  return start_accepting();
+}
+
 bool ClientSide::listen(const sockaddr_in& address, std::string& error) {
   listener_ = io_.listen(address, error);
+  return start_accepting();
+}
+
+bool ClientSide::start_accepting() {
   if (!listener_) return false;
   accept_watch_ = io_.watch(listener_.number(), *this);
   accept_watch_->read(true);
@@ -423,8 +434,10 @@
 
 void ClientSide::drain() {
   if (draining_ || !listener_) return;
-  if (accept_paused_) accept_watch_->read(true);
-  accept_some(4096);
+  if (!shared_) {
+    if (accept_paused_) accept_watch_->read(true);
+    accept_some(4096);
+  }
   draining_ = true;
   accept_watch_.reset();
   listener_.reset();
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -59,6 +59,8 @@
     /// A request was taken. The number that the handler gives it comes back with on_left() and
     /// on_gone(); 0 where it is answered already.
     virtual RequestId on_command(Owed owed, Command&& command) = 0;
+    /// A request was refused before it was taken, as its connection is one too many.
+    virtual void on_turned_away(const Command& command) = 0;
     /// The client sends nothing more; whether it still reads can't be told from that.
     virtual void on_left(RequestId id) = 0;
     /// The connection is closed and the slot with it.
@@ -75,6 +77,8 @@
 
   /// Listens on `address`; false with the reason in `error`.
   bool listen(const sockaddr_in& address, std::string& error);
+  /// Takes connections from a listening socket that other processes take them from too.
+  bool adopt(int descriptor, std::string& error);
   /// The port that listen() got; for tests that ask for port 0.
   std::uint16_t port() const;
 
@@ -87,8 +91,8 @@
   void flush();
   /// True when there is something to flush.
   bool dirty() const { return !dirty_.empty(); }
-  /// Planned end: takes the connections that wait in the backlog, stops listening and closes every
-  /// connection as soon as it is between requests.
+  /// Planned end: takes the connections that wait in the backlog, unless those are for others as
+  /// well, stops listening and closes every connection as soon as it is between requests.
   void drain();
   std::size_t connections() const { return connections_.size(); }
   std::size_t buffered() const { return buffered_; }
@@ -96,6 +100,7 @@
  private:
   friend class ClientConnection;
   void on_ready(unsigned) override { accept_some(kAcceptMost); }
+  bool start_accepting();
   void accept_some(int most);
   bool evict();
   bool evict_silent();
@@ -114,6 +119,7 @@
   Socket listener_;
   std::unique_ptr<Watch> accept_watch_;
   std::unique_ptr<Alarm> sweep_alarm_;
+  bool shared_ = false;  // others accept from the listener too
   bool accept_paused_ = false;
   bool draining_ = false;
   std::vector<std::unique_ptr<ClientConnection>> connections_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "core/ops/retune.hpp"
+
 namespace violetusher::net {
 namespace {
 
@@ -113,6 +115,7 @@
   c.name = text_of(json, "name");
   c.listen = text_of(json, "listen");
   c.discovery = text_of(json, "discovery");
+  c.operator_listen = text_of(json, "operator");
   if (json.contains("seed")) c.seed = seed_of(json["seed"]);
   double memory_mb = 192, sockets = 1024;
   if (auto limits = json.find("limits"); limits != json.end()) {
@@ -141,7 +144,8 @@
   const Json& settings = member(json, "settings");
   if (!settings.is_object()) throw ConfigError("settings: no object");
   flatten(settings, "", pairs);
-  c.settings_text = settings.dump();
+  for (const auto& [name, item] : json.items()) c.paths.push_back(name);
+  for (const auto& [path, value] : pairs) c.paths.push_back("settings." + path);
   try {
     violetusher::protocol::SettingPairs by_path(pairs.begin(), pairs.end());
     c.settings = violetusher::protocol::settings_of(by_path);
@@ -177,6 +181,8 @@
   if (!path || !*path) throw ConfigError("NODE_CONFIG: not set");
   std::ifstream file(path, std::ios::binary);
   std::stringstream text;
+  if (file && file.peek() == std::ifstream::traits_type::eof())
+    throw ConfigError(std::string("NODE_CONFIG: ") + path + " is empty");
   if (!file || !(text << file.rdbuf()))
     throw ConfigError(std::string("NODE_CONFIG: cannot read ") + path + ": " +
                       std::strerror(errno));
@@ -200,11 +206,20 @@
   if (auto set = variable("NODE_NAME")) c.name = set;
   if (auto set = variable("NODE_LISTEN")) c.listen = set;
   if (auto set = variable("NODE_DISCOVERY")) c.discovery = set;
+  if (auto set = variable("NODE_OPERATOR")) c.operator_listen = set;
+  if (auto set = variable("TMPDIR")) c.scratch = set;
+  if (auto set = variable("NODE_ACCEPT_FD")) {
+    char* end = nullptr;
+    long fd = std::strtol(set, &end, 10);
+    if (*end || fd < 3 || fd > 1'000'000)
+      throw ConfigError(std::string("NODE_ACCEPT_FD: '") + set + "' is no descriptor");
+    c.accept_fd = static_cast<int>(fd);
+  }
   complete(c);
   return c;
 }
 
-Config reload_config() {
+Config reload_config(const Config& now) {
   Config c = config_from_file();
   auto fill = [](std::string& value, const char* name) {
     if (auto set = variable(name); set && value.empty()) value = set;
@@ -212,7 +227,12 @@
   fill(c.name, "NODE_NAME");
   fill(c.listen, "NODE_LISTEN");
   fill(c.discovery, "NODE_DISCOVERY");
+  fill(c.operator_listen, "NODE_OPERATOR");
   complete(c);
+  if (std::string missing = core::ops::missing_path(now.paths, c.paths); !missing.empty())
+    throw ConfigError(missing + ": missing");
+  if (std::string why = core::ops::why_unfit(c.settings); !why.empty())
+    throw ConfigError("settings: " + why);
   return c;
 }
 
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -31,12 +31,15 @@
 
 struct Config {
   std::string name, listen, discovery;
+  std::string operator_listen;  ///< where operators call; empty where the platform names none
+  int accept_fd = -1;           ///< the clients' listening socket, where the platform holds it
+  std::string scratch;          ///< a folder that outlives the process; may be empty
   std::uint64_t seed = 0;
   std::size_t memory_bytes = 0;
   std::size_t sockets = 0;
   HostList known;
   violetusher::Settings settings;
-  std::string settings_text;  ///< as the file had them, to tell whether they differ
+  std::vector<std::string> paths;  ///< of all that the file had; see core::ops::missing_path
   violetusher::protocol::LinkSettings links;
 };
 
@@ -44,7 +47,8 @@
 /// Throws ConfigError.
 Config load_config();
 /// Reads that file again. The environment is as old as the process, so now the file comes first.
-Config reload_config();
+/// Throws ConfigError also where the file lacks what `now`'s had, or its settings can't be used.
+Config reload_config(const Config& now);
 /// The same from the file's text alone.
 Config parse_config(const std::string& json);
 
--- /dev/null
+++ b/src/net/host_book.hpp
@@ -0,0 +1,45 @@
+// What discovery has told of the cache servers, with the operators' word over it: a server that
+// they have taken out is `Draining` to all that hear of it here, whatever discovery says in
+// between.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "config.hpp"
+
+namespace violetusher::net {
+
+class HostBook {
+ public:
+  explicit HostBook(const HostList& known) { keep(known); }
+
+  /// Takes over what discovery tells and gives the list as the router is to take it.
+  HostList take(HostList&& told);
+  /// Takes the server out, or puts it back. What the router is to hear of it; no hosts where
+  /// nothing changes for it.
+  HostList set_out(const std::string& id, bool out);
+
+  bool out(const std::string& id) const { return out_.count(id) > 0; }
+  /// Whether an operator can mean this one: it is listed, or was taken out before it left.
+  bool known(const std::string& id) const { return hosts_.count(id) > 0 || out(id); }
+  std::size_t size() const { return hosts_.size(); }
+  const std::set<std::string>& all_out() const { return out_; }
+  /// Calls `f` with each listed server as the router is to take it.
+  template <typename F>
+  void each(F&& f) const {
+    for (const auto& [id, host] : hosts_) f(masked(host));
+  }
+
+ private:
+  void keep(const HostList& told);
+  Host masked(Host host) const;
+
+  std::string version_;
+  std::map<std::string, Host> hosts_;  // as told, those that have left not
+  std::set<std::string> out_;
+};
+
+}  // namespace violetusher::net
--- a/src/net/io.hpp
+++ b/src/net/io.hpp
@@ -99,6 +99,9 @@
 
   /// Listens; an empty Socket with the reason in `error` where it can't.
   virtual Socket listen(const sockaddr_in& address, std::string& error) = 0;
+  /// A socket that listens already and that others hold as well; an empty one with the reason in
+  /// `error` where `descriptor` is none.
+  virtual Socket adopt(int descriptor, std::string& error) = 0;
   virtual std::uint16_t port(int listener) const = 0;
   /// The next connection that waits. kNoRoom: out of descriptors or memory.
   virtual Accepted accept(int listener, Socket& socket) = 0;
--- /dev/null
+++ b/src/net/operations.hpp
@@ -0,0 +1,53 @@
+// What operators do to a running router: their calls answered, servers out and back, bans kept.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "ban_file.hpp"
+#include "config.hpp"
+#include "core/ops/figures.hpp"
+#include "host_book.hpp"
+#include "log.hpp"
+#include "operator_side.hpp"
+
+namespace violetusher::net {
+
+class Operations {
+ public:
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    /// What is to be heard of a server that was taken out, or put back.
+    virtual void on_out_or_back(HostList&& change) = 0;
+    virtual core::ops::Figures::Now standing() = 0;
+  };
+
+  /// All that is given outlives it. Does nothing where `config` names no address for operators.
+  Operations(Io& io, const Config& config, const core::ops::Figures& figures, Handler& handler,
+             Log& log);
+
+  /// Takes over the bans that are kept, and listens; where that fails, it is tried again.
+  void start();
+  HostBook& hosts() { return hosts_; }
+  /// 0 while it doesn't listen.
+  std::uint16_t port() const { return side_.listening() ? side_.port() : 0; }
+
+ private:
+  std::string answer(std::string_view line);
+  std::string put(const std::string& id, bool out);
+  void sync();
+  void look();
+
+  Io& io_;
+  const Config& config_;
+  const core::ops::Figures& figures_;
+  Handler& handler_;
+  Log& log_;
+  HostBook hosts_;
+  BanFile bans_;
+  OperatorSide side_;
+  std::unique_ptr<Alarm> look_alarm_;
+};
+
+}  // namespace violetusher::net
--- a/src/net/pool_set.cpp
+++ b/src/net/pool_set.cpp
@@ -154,6 +154,10 @@
   return for_links;
 }
 
+void PoolSet::retune(const violetusher::Settings& settings) {
+  for (auto& [number, module] : modules_) module->balancer->retune(settings);
+}
+
 void PoolSet::lists_failed() {
   for (const auto& [number, module] : modules_)
     handler_.on_module_list(number, ListScope::Failed, {});
--- a/src/net/pool_set.hpp
+++ b/src/net/pool_set.hpp
@@ -66,6 +66,8 @@
   void lists_failed();
   /// The list as it is now, with those addresses; only while an operator file is in use.
   HostList whole_list() const;
+  /// All modules take over `settings`, which PoolSet's configuration holds by now.
+  void retune(const violetusher::Settings& settings);
   /// Frees modules that are to go. Call where no call of a module is under way.
   void free_gone(Micros now);
 
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -86,6 +86,7 @@
 
   OpenRequest& open = table_.enter(id, std::move(command));
   open.owed = std::move(owed);
+  ++unanswered_;
   open.deadline = now + wait;
   open.module = module;
   open.traffic = ticket.pool ? traffic_ : nullptr;
@@ -97,11 +98,20 @@
   return id;
 }
 
+void RequestCore::count(const std::string& type, Reply::Kind kind) {
+  using End = core::ops::Figures::End;
+  bool served = kind == Reply::Kind::Value || kind == Reply::Kind::Stored;
+  p_.figures.count(type, served                      ? End::kSuccess
+                         : kind == Reply::Kind::Busy ? End::kOverload
+                                                     : End::kError);
+}
+
 /// The final answer to a request that never comes to the table.
 RequestId RequestCore::turn_away(RequestId id, Owed&& owed, const Command& command,
                                  const Reply& reply, Why why) {
   note(Kind::kTaken, id, -1, 0, static_cast<std::int64_t>(command.wait_ms * 1000), command.id);
   note(Kind::kRefused, id, -1, 0, reply.come_back, {}, why);
+  count(command.type, reply.kind);
   p_.clients.answer(std::move(owed), command.id, reply);
   return 0;
 }
@@ -120,6 +130,7 @@
 void RequestCore::on_gone(RequestId id) {
   OpenRequest* open = table_.find(id);
   if (!open) return;
+  if (!open->answered()) --unanswered_;
   open->owed.lapse();
   note(Kind::kGone, id);
   if (open->traffic) open->traffic->end(p_.io.now(), open->ticket, false);
@@ -145,6 +156,8 @@
   else
     note(refused ? Kind::kRefused : Kind::kFailed, open.id, -1, 0, reply.come_back, {}, why);
   if (open.traffic) open.traffic->end(now, open.ticket, refused);
+  count(open.command.type, reply.kind);
+  --unanswered_;
   p_.clients.answer(std::move(open.owed), open.command.id, reply);
   if (now > open.deadline + kLateSlack) {
     note(Kind::kLate, open.id, -1, 0, now - open.deadline);
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -6,6 +6,7 @@
 
 #include "client_side.hpp"
 #include "core/flight/ring.hpp"
+#include "core/ops/figures.hpp"
 #include "module_feed.hpp"
 #include "pool_set.hpp"
 #include "request_table.hpp"
@@ -26,6 +27,7 @@
     ClientSide& clients;
     ServerSide& servers;
     core::flight::Recorder& recorder;
+    core::ops::Figures& figures;
   };
   RequestCore(const Parts& parts, RequestTable::Bounds bounds);
 
@@ -53,9 +55,12 @@
   void fail_all();
 
   const RequestTable& table() const { return table_; }
+  /// Requests that have no answer yet and whose client waits for one.
+  std::size_t unanswered() const { return unanswered_; }
 
   // ClientSide::Handler
   RequestId on_command(Owed owed, Command&& command) override;
+  void on_turned_away(const Command& command) override { count(command.type, Reply::Kind::Busy); }
   void on_left(RequestId id) override;
   void on_gone(RequestId id) override;
   // ServerSide::Handler
@@ -65,6 +70,7 @@
   using Why = core::flight::Why;
   RequestId turn_away(RequestId id, Owed&& owed, const Command& command, const Reply& reply,
                       Why why);
+  void count(const std::string& type, Reply::Kind kind);
   void give(OpenRequest& open, const Reply& reply, Why why);
   bool within_budget(OpenRequest& open);
   void tell_outcome(OpenRequest& open, int attempt, Status status, Answer* answer);
@@ -76,6 +82,7 @@
 
   Parts p_;
   RequestTable table_;
+  std::size_t unanswered_ = 0;
   std::shared_ptr<core::Traffic> traffic_;
   std::function<void(const char*)> alert_;
 };
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/ops/retune.hpp"
+
 namespace violetusher::net {
 namespace {
 
@@ -12,6 +14,8 @@
 constexpr std::size_t kMostPerServer = 8;
 // Descriptors for the listener, the event base, discovery and the log.
 constexpr std::size_t kReservedSockets = 24;
+// And for operators: their listener, their connections, the file of bans.
+constexpr std::size_t kOperatorSockets = OperatorSide::kMost + 4;
 constexpr std::size_t kSpareClients = 50;
 // Memory, as parts of what the router may use: the commands of open requests, and what is buffered
 // for clients. An open request costs kOpenBytes beside its command: its places in the tables here
@@ -24,12 +28,17 @@
 constexpr Micros kStopStep = 20 * kMillisecond;
 constexpr Micros kStopSlack = 650 * kMillisecond;
 
-std::size_t server_sockets(const Config& c) { return (c.sockets - kReservedSockets) / 3; }
+std::size_t usable_sockets(const Config& c) {
+  std::size_t reserved = kReservedSockets + (c.operator_listen.empty() ? 0 : kOperatorSockets);
+  return c.sockets - std::min(reserved, c.sockets / 2);
+}
+
+std::size_t server_sockets(const Config& c) { return usable_sockets(c) / 3; }
 
 ClientSide::Limits client_limits(const Config& c) {
   ClientSide::Limits l;
   l.spare_connections = std::min(kSpareClients, c.sockets / 16);
-  l.connections = c.sockets - kReservedSockets - server_sockets(c) - l.spare_connections;
+  l.connections = usable_sockets(c) - server_sockets(c) - l.spare_connections;
   l.buffer_bytes = c.memory_bytes / kBufferPart;
   return l;
 }
@@ -63,14 +72,18 @@
       config_(config),
       log_(log),
       pools_(config_, *this, io.now()),
-      core_({io, config_, pools_, timers_, feed_, clients_, servers_, recorder_},
+      core_({io, config_, pools_, timers_, feed_, clients_, servers_, recorder_, figures_},
             table_bounds(config)),
       clients_(io, core_, client_limits(config)),
       servers_(io, core_, server_limits(config), &config_.settings.report_fields, recorder_),
       discovery_(io, config.discovery, config.known.version, !config.settings.must_ask, *this, log),
+      operations_(io, config_, figures_, *this, log),
       alarm_(io.alarm([this] { armed_at_ = 0; })),  // run() rings what is due
-      stop_alarm_(io.alarm([this] { stop_step(); })) {
+      stop_alarm_(io.alarm([this] { stop_step(); })),
+      change_over_alarm_(io.alarm([this] { retune(next_settings_); })) {
+  for (const auto& c : config_.settings.classes) figures_.add_class(c.name);
   servers_.take_list(config_.known);
+  operations_.start();
 }
 
 bool Router::listen(std::string& error) {
@@ -79,7 +92,12 @@
     error = "no address: '" + config_.listen + "'";
     return false;
   }
-  return clients_.listen(*address, error);
+  if (config_.accept_fd < 0) return clients_.listen(*address, error);
+  if (!clients_.adopt(config_.accept_fd, error)) return false;
+  // Another process may have served until now: what it was told binds this one at once, and the
+  // known list may be as old as the first start.
+  discovery_.fetch();
+  return true;
 }
 
 void Router::operate(core::config::Model model) {
@@ -117,7 +135,8 @@
 void Router::stop() {
   if (stopping_since_) return;
   stopping_since_ = io_.now();
-  stop_alarm_->set(kStopListening);
+  // What waits at a shared listener is another process's; what waits at our own nobody else takes.
+  stop_alarm_->set(config_.accept_fd < 0 ? kStopListening : 0);
 }
 
 void Router::stop_step() {
@@ -132,7 +151,7 @@
   if (!done_) stop_alarm_->set(kStopStep);
 }
 
-void Router::reload(const Config& config) {
+bool Router::reload(const Config& config) {
   Micros now = io_.now();
   auto differs = [&](std::string_view what) {
     log_.write(now, Log::Level::kWarn, "reload-needs-restart",
@@ -143,16 +162,52 @@
     log_.write(now, Log::Level::kError, "reload-bad-discovery",
                "reload: discovery: no address: '" + config.discovery + "'; the old one is kept",
                {{"address", address}});
-    return;
+    return false;
   }
   if (config.listen != config_.listen) differs("listen");
   if (config.memory_bytes != config_.memory_bytes || config.sockets != config_.sockets)
     differs("limits");
-  if (config.settings_text != config_.settings_text) differs("settings");
+  if (config.operator_listen != config_.operator_listen) differs("operator");
+  // What is there now may itself be a change-over; the classes of both are taken until its end.
+  next_settings_ = config.settings;
+  try {
+    retune(core::ops::both_bind(config_.settings, config.settings));
+  } catch (const std::invalid_argument& e) {
+    log_.write(now, Log::Level::kError, "reload-bad-settings",
+               std::string("reload: settings: ") + e.what() + "; the old ones are kept",
+               {{"reason", std::string_view(e.what())}});
+    return false;
+  }
+  change_over_alarm_->set(core::ops::kChangeOver);
+  config_.links = config.links;
+  servers_.retune(config.links.streams, config.links.keepalive, config.links.dial_timeout);
+  config_.paths = config.paths;
   log_.write(now, Log::Level::kInfo, "reload-discovery", "reload: discovery at " + config.discovery,
              {{"address", address}});
-  config_.discovery = config.discovery;
-  discovery_.move(config.discovery);
+  if (config.discovery != config_.discovery) {
+    config_.discovery = config.discovery;
+    discovery_.move(config.discovery);
+  }
+  return true;
+}
+
+void Router::retune(const violetusher::Settings& settings) {
+  pools_.retune(settings);
+  config_.settings = settings;
+  for (const auto& c : settings.classes) figures_.add_class(c.name);
+}
+
+core::ops::Figures::Now Router::standing() {
+  core::ops::Figures::Now now;
+  now.concurrent = core_.unanswered();
+  now.dispatches = servers_.written();
+  now.targets = operations_.hosts().size();
+  const violetusher::Balancer& whole = *pools_.find(PoolSet::kWhole)->balancer;
+  operations_.hosts().each([&](const Host& host) {
+    now.targets_disabled += host.server.health != violetusher::Health::Ready ||
+                            whole.live_fraction(host.server.id) <= 0;
+  });
+  return now;
 }
 
 // ---- timers ----
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -9,10 +9,12 @@
 #include "client_side.hpp"
 #include "config.hpp"
 #include "core/flight/ring.hpp"
+#include "core/ops/figures.hpp"
 #include "discovery.hpp"
 #include "io.hpp"
 #include "log.hpp"
 #include "module_feed.hpp"
+#include "operations.hpp"
 #include "pool_set.hpp"
 #include "request_core.hpp"
 #include "server_side.hpp"
@@ -20,7 +22,7 @@
 
 namespace violetusher::net {
 
-class Router final : Discovery::Handler, PoolSet::Handler {
+class Router final : Discovery::Handler, PoolSet::Handler, Operations::Handler {
  public:
   /// Throws ConfigError when the configuration can't be used.
   Router(Io& io, const Config& config, Log& log);
@@ -31,9 +33,11 @@
   void run();
   /// Planned end: see PROTOCOL's figures for restarts.
   void stop();
-  /// Takes over a new configuration while running: where discovery is. What else differs needs a
-  /// restart and is logged. One that can't be used is logged, and the old one kept.
-  void reload(const Config& config);
+  /// Takes over a new configuration while running: where discovery is, and the settings. What else
+  /// differs needs a restart and is logged. False, with the old one kept, where it can't be used.
+  bool reload(const Config& config);
+  /// A reload has come to its end; for the figures.
+  void note_reload(bool accepted) { figures_.count_reload(accepted); }
   /// Takes over an operator file's model, at the start or while running: what comes from now on
   /// goes by it. Requests that are open finish on the route and in the pool that they began with;
   /// pools that are gone end with their last request.
@@ -42,7 +46,9 @@
   /// is told where a rule is close to being broken.
   void record(core::flight::Ring* ring, std::function<void(const char* what)> alert);
 
+  const Config& config() const { return config_; }
   std::uint16_t port() const { return clients_.port(); }
+  std::uint16_t operator_port() const { return operations_.port(); }
   std::size_t pools() const { return pools_.modules(); }
   std::size_t open_requests() const { return core_.table().size(); }
   std::size_t timers() const { return timers_.size(); }
@@ -52,7 +58,9 @@
 
  private:
   // Discovery::Handler
-  void on_hosts(HostList&& list) override { servers_.take_list(pools_.take(std::move(list))); }
+  void on_hosts(HostList&& list) override {
+    servers_.take_list(pools_.take(operations_.hosts().take(std::move(list))));
+  }
   void on_hosts_failed() override { pools_.lists_failed(); }
   // PoolSet::Handler
   void on_module_start(std::uint32_t module) override { feed_.push(StartEvent{module}); }
@@ -61,6 +69,13 @@
     feed_.push(ListEvent{module, scope, std::move(servers)});
   }
 
+  // Operations::Handler
+  void on_out_or_back(HostList&& change) override {
+    servers_.take_list(pools_.take(std::move(change)));
+  }
+  core::ops::Figures::Now standing() override;
+
+  void retune(const violetusher::Settings& settings);
   void ring();
   void arm();
   /// Tells modules what has happened and carries out what they answer, until nothing is left.
@@ -73,6 +88,7 @@
   Config config_;
   Log& log_;
   core::flight::Recorder recorder_;
+  core::ops::Figures figures_;
   Timers timers_;
   ModuleFeed feed_;
   PoolSet pools_;
@@ -80,9 +96,11 @@
   ClientSide clients_;
   ServerSide servers_;
   Discovery discovery_;
+  Operations operations_;
   std::shared_ptr<core::Traffic> traffic_;
-  std::unique_ptr<Alarm> alarm_, stop_alarm_;
-  Micros armed_at_ = 0;  // 0: not set
+  std::unique_ptr<Alarm> alarm_, stop_alarm_, change_over_alarm_;
+  violetusher::Settings next_settings_;  // from the end of the change-over
+  Micros armed_at_ = 0;                  // 0: not set
   Micros stopping_since_ = 0;
   bool running_ = false, done_ = false;
 };
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -120,6 +120,7 @@
         partial_ -= e.size;
         std::string().swap(e.bytes);
         ++sent_;
+        ++side_.written_;
         if (side_.recorder_.on())
           side_.recorder_.note(side_.io_.now(), Kind::kWritten, e.id, e.attempt, number_);
       }
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -59,6 +59,14 @@
   void flush();
   bool dirty() const { return !dirty_.empty(); }
   std::size_t connections() const { return total_; }
+  /// Attempts written whole since the start.
+  std::uint64_t written() const { return written_; }
+  /// What new settings say of connections; how many there may be stays.
+  void retune(int streams, Micros keepalive, Micros dial_timeout) {
+    limits_.streams = streams;
+    limits_.keepalive = keepalive;
+    limits_.dial_timeout = dial_timeout;
+  }
   /// Servers of which anything is kept.
   std::size_t pools() const { return pools_.size(); }
 
@@ -85,6 +93,7 @@
   std::unique_ptr<Alarm> sweep_alarm_;
   std::unordered_map<std::string, std::unique_ptr<ServerPool>> pools_;
   std::size_t total_ = 0;
+  std::uint64_t written_ = 0;
   std::uint32_t next_connection_ = 1;
   std::vector<std::unique_ptr<ServerConnection>> closed_;
   std::vector<ServerConnection*> dirty_;
--- a/src/net/system_io.cpp
+++ b/src/net/system_io.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -142,6 +143,18 @@
   return Socket();
 }
 
+Socket SystemIo::adopt(int descriptor, std::string& error) {
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  int flags = ::fcntl(descriptor, F_GETFL);
+  if (flags >= 0 && ::getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 &&
+      listens && ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK) == 0 &&
+      ::fcntl(descriptor, F_SETFD, FD_CLOEXEC) == 0)
+    return Socket(*this, descriptor);
+  error = flags >= 0 && !listens ? "no listening socket" : std::strerror(errno);
+  return Socket();
+}
+
 std::uint16_t SystemIo::port(int listener) const {
   sockaddr_in address{};
   socklen_t size = sizeof address;
--- a/src/net/system_io.hpp
+++ b/src/net/system_io.hpp
@@ -76,6 +76,7 @@
 
   Micros now() const override { return clock_.now(); }
   Socket listen(const sockaddr_in& address, std::string& error) override;
+  Socket adopt(int descriptor, std::string& error) override;
   std::uint16_t port(int listener) const override;
   Accepted accept(int listener, Socket& socket) override;
   Socket connect(const sockaddr_in& address) override;
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -179,12 +179,18 @@
     Micros sent;
     Ran ran = Ran::Out;
   };
+  struct ClassState {
+    ClassSettings rules;
+    double mean_log = 0;  // usual log latency
+    double quantile = 0;  // latency at kQuantile
+    double seen = 0;
+  };
   struct Open {
     Request request;
-    int cls = 0;
-    int seen = 0;            // times its key came lately
-    bool held = false;       // its key is likely held by a server
-    std::uint64_t name = 0;  // hash of its key
+    std::shared_ptr<ClassState> cls;  // as it was when the request came: settings may change
+    int seen = 0;                     // times its key came lately
+    bool held = false;                // its key is likely held by a server
+    std::uint64_t name = 0;           // hash of its key
     std::uint64_t seed = 0;
     Micros came = 0;
     Micros deadline = 0;
@@ -192,11 +198,6 @@
     bool missed = false;  // aside mode: a cache held nothing
     std::vector<Attempt> attempts;
   };
-  struct ClassState {
-    double mean_log = 0;  // usual log latency
-    double quantile = 0;  // latency at kQuantile
-    double seen = 0;
-  };
 
   Settings set;
   std::uint64_t rng;
@@ -221,7 +222,7 @@
   };
   std::array<std::unordered_map<std::uint64_t, Seen>, 2> counts;  // this generation, last
   Micros generation_at = 0;
-  std::vector<ClassState> classes;
+  std::vector<std::shared_ptr<ClassState>> classes;
   std::vector<double> tenant_rate;
   double rate_sum = 0;  // decayed count of attempts sent, in mean requests
   Micros rate_at = 0;
@@ -484,8 +485,7 @@
     return ratio > kSlowFrom ? kSlowFrom / ratio : 1;
   }
 
-  void note_latency(ServerState& s, int cls, Micros latency, bool ok) {
-    ClassState& c = classes[cls];
+  void note_latency(ServerState& s, ClassState& c, Micros latency, bool ok) {
     double value = std::max<double>(1, static_cast<double>(latency));
     double log_value = std::log(value);
     if (c.seen == 0) c.mean_log = log_value, c.quantile = value * 2;
@@ -616,7 +616,7 @@
 
   double cost_of(const Open& o) const {
     if (!o.request.work || mean_work <= 0) {  // no hints: by the latency usual for the class
-      const ClassState& c = classes[o.cls];
+      const ClassState& c = *o.cls;
       return c.seen < 5 ? 1 : std::clamp(std::exp(c.mean_log - mean_log), 0.2, 5.0);
     }
     return std::clamp(static_cast<double>(*o.request.work) / mean_work, 0.2, 5.0);
@@ -649,7 +649,7 @@
   /// Whether the request is turned away at the door.
   bool turn_away(const Open& o) {
     step_shed();
-    const ClassSettings& c = set.classes[o.cls];
+    const ClassSettings& c = o.cls->rules;
     double shed = doors[o.held].shed;
     double chance = shed;
     // Around the mean worth of what comes, so that all together lose the shed part and no more:
@@ -711,7 +711,7 @@
     const ServerState& to = servers[server];
     if (!usable(to) || static_cast<int>(o.attempts.size()) >= set.max_attempts) return false;
     if (!set.second_copies && any_out(o)) return false;
-    const ClassSettings& c = set.classes[o.cls];
+    const ClassSettings& c = o.cls->rules;
     if (c.effect == Effect::Repeatable) return true;
     for (const Attempt& a : o.attempts) {
       if (a.ran == Ran::Never) continue;
@@ -725,7 +725,7 @@
   }
 
   bool may_refuse(const Open& o) const {
-    const ClassSettings& c = set.classes[o.cls];
+    const ClassSettings& c = o.cls->rules;
     if (c.effect == Effect::Repeatable || !may_have_run(o)) return true;
     return c.effect == Effect::Keyed && c.group == Group::All;
   }
@@ -761,8 +761,8 @@
   }
 
   Micros patience(const Open& o) const {
-    const ClassState& c = classes[o.cls];
-    double usual = c.seen > 0 ? c.quantile : static_cast<double>(set.classes[o.cls].aim) / 2;
+    const ClassState& c = *o.cls;
+    double usual = c.seen > 0 ? c.quantile : static_cast<double>(c.rules.aim) / 2;
     return static_cast<Micros>(
         std::max(kPatienceFactor * usual, 4.0 * static_cast<double>(set.tick)));
   }
@@ -818,7 +818,7 @@
     Micros left = o.deadline - now;
     Micros wait = patience(o);
     bool again = static_cast<int>(o.attempts.size()) < set.max_attempts &&
-                 set.classes[o.cls].effect != Effect::Once && !set.classes[o.cls].streamed;
+                 o.cls->rules.effect != Effect::Once && !o.cls->rules.streamed;
     Micros limit = 0;
     if (again && wait * 3 / 2 < left && !is_origin(s)) {  // never a second copy at the origin
       if (set.second_copies)
@@ -945,6 +945,28 @@
     require(amount(set.cross_zone_charge), "cross_zone_charge");
   }
 
+  /// What was seen of a class is kept under its name.
+  void use(const Settings& settings) {
+    set = settings;
+    check_settings();
+    std::vector<std::shared_ptr<ClassState>> fresh;
+    for (const ClassSettings& c : set.classes) {
+      auto seen = class_of(c.name);
+      fresh.push_back(
+          std::make_shared<ClassState>(seen && seen->rules.name == c.name ? *seen : ClassState()));
+      fresh.back()->rules = c;
+    }
+    classes = std::move(fresh);
+    tenant_rate.resize(set.tenants.size());
+  }
+
+  /// An unknown one is treated as the first.
+  std::shared_ptr<ClassState> class_of(const std::string& name) const {
+    for (const auto& c : classes)
+      if (c->rules.name == name) return c;
+    return classes.empty() ? nullptr : classes.front();
+  }
+
   void tick(Micros t) {
     now = std::max(now, t);
     out.clear();
@@ -954,12 +976,18 @@
 Balancer::Balancer(const Settings& settings, std::uint64_t seed, Micros now)
     : impl_(std::make_unique<Impl>()) {
   Impl& m = *impl_;
-  m.set = settings;
-  m.check_settings();
+  m.use(settings);
   m.rng = mix(seed);
   m.now = m.born = m.rate_at = m.shed_at = m.generation_at = now;
-  m.classes.resize(settings.classes.size());
-  m.tenant_rate.resize(settings.tenants.size());
+}
+void Balancer::retune(const Settings& settings) {
+  Settings old = impl_->set;
+  try {
+    impl_->use(settings);
+  } catch (...) {
+    impl_->set = std::move(old);
+    throw;
+  }
 }
 Balancer::~Balancer() = default;
 Balancer::Balancer(Balancer&&) noexcept = default;
@@ -1001,8 +1029,7 @@
   if (!fresh) return {};
   Impl::Open& o = it->second;
   o.request = request;
-  for (std::size_t k = 0; k < m.set.classes.size(); ++k)
-    if (m.set.classes[k].name == request.type) o.cls = static_cast<int>(k);
+  o.cls = m.class_of(request.type);
   o.came = m.now;
   o.deadline = m.now + std::max<Micros>(0, request.remaining);
   m.count_arrival(o);
@@ -1057,7 +1084,7 @@
   switch (r.status) {
     case Status::Ok:
       m.note_success(s);
-      if (!m.is_origin(s)) m.note_latency(s, o.cls, r.latency, true);
+      if (!m.is_origin(s)) m.note_latency(s, *o.cls, r.latency, true);
       break;
     case Status::Miss:
       m.note_success(s);
@@ -1068,7 +1095,7 @@
       break;
     case Status::Timeout:
       m.note_broken(s, Impl::kStalls, 1);
-      m.note_latency(s, o.cls, r.latency, false);
+      m.note_latency(s, *o.cls, r.latency, false);
       break;
     case Status::Error:
       m.note_broken(s, Impl::kErrors, 0.5);
@@ -1085,7 +1112,7 @@
       break;
   }
   if (!o.closed) {
-    bool late = m.now - o.came > m.set.classes[o.cls].aim;
+    bool late = m.now - o.came > o.cls->rules.aim;
     if (r.status == Status::Ok) m.note_end(o, true, !late);
   }
   if (r.finished) {
@@ -1126,7 +1153,7 @@
   if (kind == kDeadlineTimer) {
     // Nor does the end of one that came with less time than its aim tell of load: a client's last
     // retries. They ended unserved on idle servers, shut the doors, and brought on more retries.
-    bool fault = o.deadline - o.came < m.set.classes[o.cls].aim;
+    bool fault = o.deadline - o.came < o.cls->rules.aim;
     for (const Impl::Attempt& a : o.attempts) {
       if (a.ran != Impl::Ran::Out || m.now - a.sent <= m.patience(o)) continue;
       fault |= m.stands_out(m.servers[a.server], Impl::kStalls);
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -210,6 +210,9 @@
   int memory_mb = 32;
   std::string deadline_us = "2000000", aim_us = "1000000";
   bool retry_after = false;
+  std::string operator_listen;  ///< where operators call; none where empty
+  std::string scratch;          ///< a folder that outlives the router
+  int accept_fd = -1;           ///< a listening socket that it inherits
 };
 
 inline std::string config_text(const RouterOptions& o) {
@@ -221,7 +224,9 @@
            R"(","Group":"all","KeyTtlUs":5000000,"ObjectiveUs":)" + o.aim_us + R"(,"DeadlineUs":)" +
            o.deadline_us + R"(,"Worth":1})";
   };
-  return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + o.discovery +
+  std::string calls =
+      o.operator_listen.empty() ? "" : R"("operator":")" + o.operator_listen + R"(",)";
+  return "{" + calls + R"("name":"n0","listen":"127.0.0.1:0","discovery":")" + o.discovery +
          R"(","seed":"5","limits":{"memory_mb":)" + std::to_string(o.memory_mb) + R"(,"sockets":)" +
          std::to_string(o.sockets) + R"(},"known":)" + host_list("1", entries) +
          R"(,"settings":{"Balancers":2,"Az":"a","FailureDomains":["a"],"TickUs":1000,)" +
@@ -238,6 +243,8 @@
  public:
   explicit RunningRouter(const RouterOptions& options)
       : config_(parse_config(config_text(options))) {
+    config_.scratch = options.scratch;
+    config_.accept_fd = options.accept_fd;
     if (::pipe2(wake_, O_CLOEXEC | O_NONBLOCK) != 0) std::abort();
     std::promise<std::uint16_t> ready;
     auto port = ready.get_future();
--- a/tests/net/request_core_test.cpp
+++ b/tests/net/request_core_test.cpp
@@ -41,6 +41,7 @@
 
   Micros now() const override { return time; }
   Socket listen(const sockaddr_in&, std::string&) override { return make(); }
+  Socket adopt(int, std::string&) override { return make(); }
   std::uint16_t port(int) const override { return 1; }
   Accepted accept(int, Socket& socket) override {
     if (knocking == 0) return Accepted::kNone;
@@ -103,7 +104,7 @@
                       std::vector<violetusher::Server>&&) override {}
 
   explicit World(RequestTable::Bounds bounds = {100, 1u << 20})
-      : core({io, config, pools, timers, feed, clients, servers, recorder}, bounds),
+      : core({io, config, pools, timers, feed, clients, servers, recorder, figures}, bounds),
         clients(io, core, {}),
         servers(io, core, {.per_server = 2}, &config.settings.report_fields, recorder),
         memory(1u << 20),
@@ -149,6 +150,7 @@
   ModuleFeed feed;
   PoolSet pools{config, *this, 0};
   core::flight::Recorder recorder;
+  core::ops::Figures figures;
   RequestCore core;
   ClientSide clients;
   ServerSide servers;
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -498,6 +498,41 @@
   EXPECT_GE(retried, 2);
 }
 
+TEST(Retune, OpenRequestsKeepTheRulesTheyCameUnder) {
+  for (bool once_before : {true, false}) {
+    Settings once = with_effect(Effect::Once, Group::All), repeatable = basic_settings();
+    Balancer b(once_before ? once : repeatable, 7, 0);
+    b.on_list(0, ListScope::Full, fleet(4));
+    std::string first = sent_to(b.on_request(10, read_of(1, "k")));
+    b.retune(once_before ? repeatable : once);
+    std::string second = sent_to(b.on_request(20, read_of(2, "k")));
+    auto after_first = b.on_outcome(40 * kMs, ended(1, first, Status::Reset));
+    auto after_second = b.on_outcome(41 * kMs, ended(2, second, Status::Reset));
+    EXPECT_EQ(sent_to(after_first).empty(), once_before);
+    EXPECT_EQ(sent_to(after_second).empty(), !once_before);
+  }
+}
+
+TEST(Retune, KeepsWhatWasLearntAndRefusesWhatCantBeUsed) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(4));
+  for (RequestId id = 1; id <= 20; ++id) {
+    std::string to = sent_to(b.on_request(id * kMs, read_of(id, "k" + std::to_string(id))));
+    b.on_outcome(id * kMs + 500, ended(id, to, Status::Ok));
+  }
+  auto before = b.stats();
+  Settings bad = basic_settings();
+  bad.classes.clear();
+  EXPECT_THROW(b.retune(bad), std::invalid_argument);
+  Settings more = basic_settings();
+  more.classes.push_back(more.classes[0]);
+  more.classes.back().name = "read-v2";
+  b.retune(more);
+  EXPECT_EQ(b.stats().saved_seeds, before.saved_seeds);
+  EXPECT_EQ(b.stats().servers, 4u);
+  EXPECT_NE(sent_to(b.on_request(kS, read_of(99, "k1"))), "");
+}
+
 TEST(Attempts, OnceGoesOnAfterAProvenNonRun) {
   Balancer b(with_effect(Effect::Once, Group::All), 7, 0);
   b.on_list(0, ListScope::Full, fleet(3));
