Pass on long values while they come: up to 4 MiB, bounded buffers, cut off visibly

The router took them for broken answers, closed the connection, held it against the server and tried elsewhere, until the request was refused and its servers were thought sick.

Change: the answer reader gives the head and then pieces; the request gets its final answer with the first bytes, has no deadline and no other attempt from there (the module hears on_first), and pieces pass through a buffer of 128 KiB a client, 16 KiB where many read slowly or the answer waits for others before it; beyond, the server's connection is not read. What breaks off, or stands still for 4 s, closes the client's connection, so that it can tell. The module's doors count an answer when it begins.

A deadlock that the tests found before this was committed: values behind others on one connection counted against the one in turn, which was never read on.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -156,19 +156,28 @@
     return slots_.back();
   }
 
-  /// Moves finished answers into the output, in order.
+  /// Moves finished answers into the output, in order, and what has come of the next one.
   void advance() {
-    while (!slots_.empty() && slots_.front().done) {
+    while (!slots_.empty()) {
       std::string& text = slots_.front().text;
       ready_ -= text.size();
       if (out_.empty() && text.size() > out_.capacity())
         out_.swap(text);
       else
         out_ += text;
+      text.clear();
+      if (!slots_.front().done) return;
       slots_.pop_front();
     }
   }
 
+  /// Lets more of a long value come once the client has read most of what there was.
+  void let_more_come() {
+    if (slots_.empty() || !slots_.front().held_back || unsent() > kOutLow) return;
+    slots_.front().held_back = false;
+    side_.handler_.on_drained(slots_.front().id);
+  }
+
   void flush() {
     advance();
     while (out_at_ < out_.size()) {
@@ -202,6 +211,7 @@
     }
     if (!held_.empty()) parse_held();
     if (closed_) return;
+    let_more_come();
     account();
     update_reading();
   }
@@ -236,7 +246,8 @@
     return now - used_at_ > (spoken_ ? kIdleTime : kCommandTime);
   }
 
-  std::size_t waiting() const { return out_.size() - out_at_ + ready_; }
+  std::size_t unsent() const { return out_.size() - out_at_; }
+  std::size_t waiting() const { return unsent() + ready_; }
   /// Renews its part in the bytes held for all.
   void account() {
     std::size_t now = closed_ ? 0 : reader_.buffered() + held_.size() + waiting();
@@ -366,7 +377,8 @@
   sweep_alarm_->set(kSweep);
   Micros now = io_.now();
   for (std::size_t k = connections_.size(); k-- > 0;)  // from the end: closing moves the last one
-    if (connections_[k]->overdue(now)) close(*connections_[k]);
+    if (k < connections_.size() && connections_[k]->overdue(now))
+      close(*connections_[k]);  // which may take others along
   if (accept_paused_ && !draining_) {
     accept_paused_ = false;
     accept_watch_->read(true);
@@ -413,6 +425,48 @@
   touch(c);
 }
 
+void ClientSide::begin(Owed& owed, const std::string& id, std::size_t length) {
+  if (!owed) return;
+  ClientSlot& slot = *owed.slot_;
+  protocol::append_value_head(slot.text, id, length);
+  slot.connection->ready_ += slot.text.size();
+  touch(*slot.connection);
+}
+
+bool ClientSide::pass(Owed& owed, std::string_view piece) {
+  if (!owed) return true;
+  ClientSlot& slot = *owed.slot_;
+  ClientConnection& c = *slot.connection;
+  slot.text += piece;
+  c.ready_ += piece.size();
+  c.account();
+  touch(c);
+  // What comes out of turn waits for the answers before it. And many slow readers at once get
+  // smaller buffers: the bound on all must not cost any its answer.
+  bool in_turn = &slot == &c.slots_.front();
+  std::size_t held = slot.text.size() + (in_turn ? c.unsent() : 0);
+  bool small = !in_turn || buffered_ >= limits_.buffer_bytes / 2;
+  bool much = held >= (small ? kOutLow : kOutHigh);
+  slot.held_back |= much;
+  return !much;
+}
+
+void ClientSide::end(Owed&& owed) {
+  ClientSlot* slot = std::exchange(owed.slot_, nullptr);
+  if (!slot) return;
+  slot->text += "\r\n";
+  slot->connection->ready_ += 2;
+  slot->done = true;
+  touch(*slot->connection);
+}
+
+void ClientSide::abort(Owed&& owed) {
+  ClientSlot* slot = std::exchange(owed.slot_, nullptr);
+  if (!slot) return;
+  slot->id = 0;  // who calls knows of its end
+  close(*slot->connection);
+}
+
 void ClientSide::say(ClientSlot& slot, std::string_view text) {
   slot.text = text;
   slot.connection->ready_ += text.size();
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -25,8 +25,9 @@
 struct ClientSlot {
   ClientConnection* connection = nullptr;
   RequestId id = 0;
-  std::string text;   ///< the answer, while those before it are not whole
-  bool done = false;  ///< the whole answer is in `text` or written
+  std::string text;        ///< the answer, while those before it are not whole
+  bool done = false;       ///< the whole answer is in `text` or written
+  bool held_back = false;  ///< its long value waits until the client has read some
 };
 
 /// The one final answer that a client waits for. Whoever holds it may give it, once: giving takes
@@ -65,6 +66,8 @@
     virtual void on_left(RequestId id) = 0;
     /// The connection is closed and the slot with it.
     virtual void on_gone(RequestId id) = 0;
+    /// More of the request's long value may come.
+    virtual void on_drained(RequestId id) = 0;
   };
   struct Limits {
     std::size_t connections = 600;        ///< beyond, commands are refused as busy
@@ -87,6 +90,15 @@
   /// speed, and a new connection each time slows it down.
   void answer(Owed&& owed, const std::string& id, const Reply& reply);
 
+  /// Gives the head of an answer whose value of `length` bytes follows by pass(). Whoever holds
+  /// `owed` owes the rest, and gives it with end(), or cuts it off with abort().
+  void begin(Owed& owed, const std::string& id, std::size_t length);
+  /// Gives more of the value. False where no more should come until Handler::on_drained().
+  bool pass(Owed& owed, std::string_view piece);
+  void end(Owed&& owed);
+  /// Closes the connection, so that the client can tell that the value is not whole.
+  void abort(Owed&& owed);
+
   /// Writes what answer() and the others have left. Call once an iteration of the loop.
   void flush();
   /// True when there is something to flush.
--- a/src/net/module_feed.hpp
+++ b/src/net/module_feed.hpp
@@ -2,6 +2,7 @@
 // module is never called from within what another call has set off.
 #pragma once
 
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -22,6 +23,14 @@
   std::uint32_t module;
   violetusher::RequestId id;
 };
+/// The first bytes of a long value have come.
+struct FirstEvent {
+  std::uint32_t module;
+  violetusher::RequestId id;
+  std::string server;
+  int attempt;
+  violetusher::Micros latency;
+};
 struct StartEvent {
   std::uint32_t module;
 };
@@ -34,8 +43,8 @@
   std::uint32_t module;
   std::uint64_t token;
 };
-using ModuleEvent =
-    std::variant<StartEvent, RequestEvent, OutcomeEvent, GoneEvent, TimerEvent, ListEvent>;
+using ModuleEvent = std::variant<StartEvent, RequestEvent, OutcomeEvent, GoneEvent, FirstEvent,
+                                 TimerEvent, ListEvent>;
 
 class ModuleFeed {
  public:
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -132,6 +132,14 @@
   if (!open) return;
   if (!open->answered()) --unanswered_;
   open->owed.lapse();
+  if (open->rest) {
+    open->rest.lapse();
+    Attempt& a = open->attempt(open->streaming);
+    Status status = p_.servers.cancel(a.server, id, open->streaming);
+    note(Kind::kCancelled, id, open->streaming, 0, static_cast<std::int64_t>(status), {},
+         Why::kLeft);
+    tell_outcome(*open, open->streaming, status, nullptr);
+  }
   note(Kind::kGone, id);
   if (open->traffic) open->traffic->end(p_.io.now(), open->ticket, false);
   tell_gone(*open);
@@ -178,6 +186,7 @@
 void RequestCore::on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) {
   OpenRequest* open = table_.find(id);
   if (!open) return;
+  if (open->streaming == attempt) end_stream(*open, status == Status::Ok);
   if (status == Status::Miss && !p_.config.settings.aside) status = Status::Error;
   if (status == Status::Ok && !open->answered()) {
     Reply reply;
@@ -190,6 +199,45 @@
   forget_if_done(*open);
 }
 
+/// The final answer to a request, but for the rest of its value: from here it has no deadline and
+/// no other attempt, and what can go wrong shows as a value that is not whole.
+bool RequestCore::on_attempt_begin(RequestId id, int attempt, const Answer& head) {
+  OpenRequest* open = table_.find(id);
+  if (!open || open->answered()) return false;
+  Micros now = p_.io.now();
+  note(Kind::kAnswered, id, attempt, static_cast<std::uint32_t>(head.length));
+  if (open->traffic) open->traffic->end(now, open->ticket, false);
+  count(open->command.type, Reply::Kind::Value);
+  --unanswered_;
+  open->rest = std::move(open->owed);
+  open->streaming = attempt;
+  p_.clients.begin(open->rest, open->command.id, head.length);
+  Attempt& a = open->attempt(attempt);
+  a.begun = now;
+  p_.timers.cancel(a.patience);
+  ++open->untold;
+  p_.feed.push(FirstEvent{open->module, id, a.server, attempt, now - a.sent});
+  return true;
+}
+
+bool RequestCore::on_attempt_piece(RequestId id, int, std::string_view piece) {
+  OpenRequest* open = table_.find(id);
+  return !open || !open->rest || p_.clients.pass(open->rest, piece);
+}
+
+void RequestCore::end_stream(OpenRequest& open, bool whole) {
+  if (whole)
+    p_.clients.end(std::move(open.rest));
+  else
+    p_.clients.abort(std::move(open.rest));
+}
+
+void RequestCore::on_drained(RequestId id) {
+  OpenRequest* open = table_.find(id);
+  if (open && open->rest)
+    p_.servers.resume(open->attempt(open->streaming).server, id, open->streaming);
+}
+
 /// The attempt's patience, or the client's, is over.
 void RequestCore::expire(const Timers::Due& due) {
   OpenRequest* open = table_.find(due.token);
@@ -207,7 +255,7 @@
   for (std::size_t k = 0; k < open->attempts.size(); ++k) {
     Attempt& a = open->attempts[k];
     int attempt = static_cast<int>(k);
-    if (!a.out || (!all && attempt != due.attempt)) continue;
+    if (!a.out || attempt == open->streaming || (!all && attempt != due.attempt)) continue;
     Status status = p_.servers.cancel(a.server, open->id, attempt);
     note(Kind::kCancelled, open->id, attempt, 0, static_cast<std::int64_t>(status), {},
          Why::kDeadline);
@@ -267,7 +315,7 @@
   e.outcome.id = open.id;
   e.outcome.server = a.server;
   e.outcome.status = status;
-  e.outcome.latency = p_.io.now() - a.sent;
+  e.outcome.latency = (a.begun ? a.begun : p_.io.now()) - a.sent;
   e.outcome.attempt = attempt;
   if (answer) {
     e.outcome.note = answer->note;
@@ -335,7 +383,7 @@
   OpenRequest* open = table_.find(a.id);
   if (!open || a.attempt < 0 || a.attempt >= static_cast<int>(open->attempts.size())) return;
   Attempt& one = open->attempt(a.attempt);
-  if (!one.out) return;
+  if (!one.out || a.attempt == open->streaming) return;
   Status status = p_.servers.cancel(one.server, a.id, a.attempt);
   note(Kind::kCancelled, a.id, a.attempt, 0, static_cast<std::int64_t>(status), {}, Why::kModule);
   tell_outcome(*open, a.attempt, status, nullptr);
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -63,8 +63,11 @@
   void on_turned_away(const Command& command) override { count(command.type, Reply::Kind::Busy); }
   void on_left(RequestId id) override;
   void on_gone(RequestId id) override;
+  void on_drained(RequestId id) override;
   // ServerSide::Handler
   void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) override;
+  bool on_attempt_begin(RequestId id, int attempt, const Answer& head) override;
+  bool on_attempt_piece(RequestId id, int attempt, std::string_view piece) override;
 
  private:
   using Why = core::flight::Why;
@@ -73,6 +76,7 @@
   void count(const std::string& type, Reply::Kind kind);
   void give(OpenRequest& open, const Reply& reply, Why why);
   bool within_budget(OpenRequest& open);
+  void end_stream(OpenRequest& open, bool whole);
   void tell_outcome(OpenRequest& open, int attempt, Status status, Answer* answer);
   void tell_gone(OpenRequest& open);
   void forget_if_done(OpenRequest& open);
--- a/src/net/request_table.hpp
+++ b/src/net/request_table.hpp
@@ -18,7 +18,8 @@
 struct Attempt {
   std::string server;
   Micros sent = 0;
-  bool out = true;  ///< its outcome has not been told to the module
+  Micros begun = 0;  ///< the first bytes of a long value came; 0 = none
+  bool out = true;   ///< its outcome has not been told to the module
   bool may_have_run = false;
   Timers::Handle patience = 0;
 };
@@ -31,6 +32,9 @@
   Micros deadline = 0;
   int untold = 0;  ///< events of it on their way to the module
   std::vector<Attempt> attempts;
+  // Of an answer that is passed on while it comes: it has been given, and its rest is owed still.
+  int streaming = -1;  ///< the attempt that brings it
+  Owed rest;
   std::uint32_t module = 0;                ///< whose it is; see PoolSet
   std::shared_ptr<core::Traffic> traffic;  ///< none where no operator file is in use
   core::Traffic::Ticket ticket;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -241,6 +241,7 @@
       perform(number, tell(*module->balancer, event));
     if (auto* e = std::get_if<OutcomeEvent>(&event)) core_.told(e->outcome.id);
     if (auto* e = std::get_if<GoneEvent>(&event)) core_.told(e->id);
+    if (auto* e = std::get_if<FirstEvent>(&event)) core_.told(e->id);
   }
   pools_.free_gone(io_.now());  // once a turn: no call of a module is under way
 }
@@ -257,6 +258,8 @@
                                           : violetusher::Actions();
   }
   if (auto* e = std::get_if<GoneEvent>(&event)) return balancer.on_gone(now, e->id);
+  if (auto* e = std::get_if<FirstEvent>(&event))
+    return balancer.on_first(now, e->id, e->server, e->attempt, e->latency);
   if (auto* e = std::get_if<ListEvent>(&event)) return balancer.on_list(now, e->scope, e->servers);
   if (auto* e = std::get_if<TimerEvent>(&event)) return balancer.on_timer(now, e->token);
   return balancer.start(now);
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -53,6 +53,7 @@
   std::size_t open_requests() const { return core_.table().size(); }
   std::size_t timers() const { return timers_.size(); }
   std::size_t client_connections() const { return clients_.connections(); }
+  std::size_t client_buffered() const { return clients_.buffered(); }
   std::size_t server_pools() const { return servers_.pools(); }
   std::size_t server_connections() const { return servers_.connections(); }
 
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -20,6 +20,8 @@
 // without its end, one whose length doesn't fit, a server that stops in the middle. It might hurt
 // where a path loses packets and repeats them later than this.
 constexpr Micros kPartTime = 60 * kMillisecond;
+// The same of a long value while it may come: servers write them in pieces, over seconds.
+constexpr Micros kLongPartTime = 4 * kSecond;
 // What a server does right behind an answer, be it a close, a second copy or noise, shows within
 // this. Until then the connection is used for another request only where there is no other idle
 // one.
@@ -147,7 +149,27 @@
         side_.close(*this);
         return;
       }
+      if (what == AnswerReader::Got::Begin) {
+        Entry& e = entries_.front();
+        long_ = true;
+        if (e.live) e.live = side_.handler_.on_attempt_begin(e.id, e.attempt, answer);
+        // Neighbours are not taken along: for them it is read and dropped.
+        if (!e.live && forsaken()) {
+          side_.close(*this);
+          return;
+        }
+        continue;
+      }
+      if (what == AnswerReader::Got::Piece) {
+        Entry& e = entries_.front();
+        if (e.live && !side_.handler_.on_attempt_piece(e.id, e.attempt, reader_.piece())) {
+          paused_ = true;
+          watch_->read(false);
+        }
+        continue;
+      }
       kept_ = true;
+      long_ = false;
       bool last = answer.last;
       Entry done = std::move(entries_.front());
       entries_.pop_front();
@@ -184,6 +206,12 @@
     return answer.id.empty() || answer.id == e.answer_id;
   }
 
+  void go_on() {
+    paused_ = false;
+    read_at_ = side_.io_.now();  // the time until the next piece counts from here
+    watch_->read(true);
+  }
+
   /// True when the peer has ended or broken the connection, or said something unasked.
   bool ended() const { return side_.io_.has_input(socket_.number()); }
 
@@ -202,6 +230,8 @@
   bool closed_ = false;
   bool kept_ = false;  // has answered before
   bool ended_by_peer_ = false;
+  bool long_ = false;    // a long value is coming
+  bool paused_ = false;  // it is not read until its client has read what came
   Micros used_at_;
   Micros read_at_ = 0;  // bytes came last
 };
@@ -297,7 +327,8 @@
 ServerConnection* ServerSide::least_loaded(ServerPool& pool) const {
   ServerConnection* best = nullptr;
   for (auto& c : pool.connections)
-    if (!c->closed_ && !c->retiring_ && (c->entries_.empty() || c->entries_.front().live) &&
+    if (!c->closed_ && !c->retiring_ && !c->long_ &&
+        (c->entries_.empty() || c->entries_.front().live) &&
         c->entries_.size() < static_cast<std::size_t>(limits_.streams) &&
         (!best || c->entries_.size() < best->entries_.size()))
       best = c.get();
@@ -365,7 +396,10 @@
         // the servers. It costs a new connection, some milliseconds of the server's work, for
         // nothing where servers go on with waiting work. Neighbours are not taken along: then the
         // answer is read and dropped when it comes.
-        if (c.forsaken()) close(c);
+        if (c.forsaken())
+          close(c);
+        else if (c.paused_)
+          c.go_on();  // read and dropped, for those behind it
         return Status::Cancelled;
       }
       // Partly written: finishing it would send the request after its end.
@@ -376,6 +410,16 @@
   return Status::Cancelled;
 }
 
+void ServerSide::resume(const std::string& server, RequestId id, int attempt) {
+  auto at = pools_.find(server);
+  if (at == pools_.end()) return;
+  for (auto& c : at->second->connections) {
+    if (!c->paused_ || c->entries_.empty()) continue;
+    const ServerConnection::Entry& e = c->entries_.front();
+    if (e.id == id && e.attempt == attempt) c->go_on();
+  }
+}
+
 void ServerSide::touch(ServerConnection& c) {
   if (c.dirty_ || c.closed_) return;
   c.dirty_ = true;
@@ -447,7 +491,8 @@
       if (c.entries_.empty()) continue;
       const ServerConnection::Entry& head = c.entries_.front();
       bool silent = !head.live && now - std::max(head.since, c.used_at_) > kAbandonTime;
-      bool broke_off = c.reader_.in_answer() && now - c.read_at_ > kPartTime;
+      bool broke_off = c.reader_.in_answer() && !c.paused_ &&
+                       now - c.read_at_ > (c.long_ ? kLongPartTime : kPartTime);
       if (silent || broke_off) close(c);
     }
     // A server that has left, whether a whole list or a change said so, leaves nothing behind once
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -35,6 +35,10 @@
     /// The attempt has ended; `answer` is what came, where `status` tells of one. Called once for
     /// each attempt, unless it was cancelled.
     virtual void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) = 0;
+    /// The head of a long value has come. False where nobody wants the rest.
+    virtual bool on_attempt_begin(RequestId id, int attempt, const Answer& head) = 0;
+    /// More of the value. False where no more is to come until resume().
+    virtual bool on_attempt_piece(RequestId id, int attempt, std::string_view piece) = 0;
   };
   struct Limits {
     std::size_t connections = 300;  ///< to all servers
@@ -56,6 +60,8 @@
             std::int64_t wait_ms);
   /// Gives an attempt up: Moot where nothing of it was sent whole, Cancelled where it may have run.
   Status cancel(const std::string& server, RequestId id, int attempt);
+  /// The long value of the attempt may go on coming.
+  void resume(const std::string& server, RequestId id, int attempt);
   void flush();
   bool dirty() const { return !dirty_.empty(); }
   std::size_t connections() const { return total_; }
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -1055,6 +1055,7 @@
   Impl::Open& o = it->second;
   m.note_success(m.servers[at->second]);
   // The stream belongs to the client from here: no deadline, no further attempts.
+  if (!o.closed) m.note_end(o, true, m.now - o.came <= o.cls->rules.aim);
   o.closed = true;
   m.cancel_rest(o, attempt);
   return std::move(m.out);
--- a/src/protocol/command.hpp
+++ b/src/protocol/command.hpp
@@ -14,7 +14,8 @@
 
 constexpr std::size_t kMaxKey = 250;          ///< bytes, as memcached has it
 constexpr std::size_t kMaxOpaque = 64;        ///< bytes of a request's id
-constexpr std::size_t kMaxValue = 64u << 10;  ///< bytes of one value
+constexpr std::size_t kMaxValue = 64u << 10;  ///< bytes of one value that is held whole
+constexpr std::size_t kMaxLong = 4u << 20;    ///< bytes of a value that is passed on as it comes
 
 /// The protocols that codecs exist for.
 enum class Wire : std::uint8_t { Meta };
@@ -44,7 +45,8 @@
   Kind kind = Kind::Error;
   std::string id;              ///< the command's; may be empty where the answer bears none
   std::string receipt;         ///< of a write that is stored
-  std::string value;           ///< of a read that is served
+  std::string value;           ///< of a read that is served; of a long one empty
+  std::size_t length = 0;      ///< of that value, bytes
   int note = 0;                ///< 1 hit, 2 miss, 3 miss while another fetch is out, 0 not told
   std::vector<double> report;  ///< in the order of the settings' fields, NaN where not told;
                                ///< empty where no field could be read
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -87,6 +87,10 @@
   return text;
 }
 
+void append_value_head(std::string& out, const std::string& id, std::size_t length) {
+  out.append("VA ").append(std::to_string(length)).append(" O").append(id).append("\r\n");
+}
+
 void append_reply(std::string& out, const std::string& id, const Reply& reply) {
   char digits[24];
   auto figure = [&](auto value) -> std::string_view {
@@ -233,7 +237,8 @@
   if (verb == "VA") {
     answer.kind = Answer::Kind::Value;
     auto length = number<std::size_t>(next_word(rest));
-    if (!length || *length > kMaxValue) return false;
+    if (!length || *length > kMaxLong) return false;
+    answer.length = *length;
     need_ = *length + 2;
   } else if (verb == "HD") {
     answer.kind = Answer::Kind::Stored;
@@ -291,9 +296,31 @@
       std::string().swap(partial_);
       if (!good) return Got::Broken;
       if (answer.kind != Answer::Kind::Value) return Got::Answer;
+      if (answer.length > kMaxValue) {
+        pending_ = answer;
+        need_ = answer.length;
+        state_ = State::Long;
+        return Got::Begin;
+      }
       pending_ = std::move(answer);
       pending_.value.reserve(need_);
       state_ = State::Value;
+    } else if (state_ == State::Long) {
+      piece_ = in.substr(0, need_);
+      in.remove_prefix(piece_.size());
+      need_ -= piece_.size();
+      if (need_ == 0) state_ = State::LongEnd;
+      return Got::Piece;
+    } else if (state_ == State::LongEnd) {
+      partial_ += in.front();
+      in.remove_prefix(1);
+      if (partial_ != std::string_view("\r\n").substr(0, partial_.size())) return Got::Broken;
+      if (partial_.size() < 2) continue;
+      partial_.clear();
+      state_ = State::Line;
+      answer = std::move(pending_);
+      pending_ = Answer();
+      return Got::Answer;
     } else {
       take_bytes(in, pending_.value, need_);
       if (need_ > 0) return Got::Nothing;
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -16,6 +16,8 @@
 /// The bytes of `command` for a cache server, `wait_ms` in the place of the client's, behind `out`.
 void append_command(std::string& out, const Command& command, std::int64_t wait_ms);
 std::string command_bytes(const Command& command, std::int64_t wait_ms);
+/// The bytes before a value of `length` bytes that serves the request `id`, behind `out`.
+void append_value_head(std::string& out, const std::string& id, std::size_t length);
 /// The bytes of the final answer to the request `id`, behind `out`.
 void append_reply(std::string& out, const std::string& id, const Reply& reply);
 
@@ -56,14 +58,18 @@
   enum class Got {
     Nothing,  ///< all of `in` is consumed, nothing is whole
     Answer,   ///< `answer` is whole, its value too
+    Begin,    ///< the head of `answer` is whole, whose value of over kMaxValue bytes is to come
+    Piece,    ///< more of that value: piece(); once all of it has come, the next one is Answer
     Broken,   ///< no answer of the protocol; the connection is of no more use
   };
   Got take(std::string_view& in, Answer& answer);
+  /// Of a long value, in the memory that take() was given.
+  std::string_view piece() const { return piece_; }
   /// True while an answer has come in part.
   bool in_answer() const { return !partial_.empty() || state_ != State::Line; }
 
  private:
-  enum class State { Line, Value };
+  enum class State { Line, Value, Long, LongEnd };
   bool parse_line(std::string_view line, Answer& answer);
   void parse_report(std::string_view text, Answer& answer) const;
 
@@ -72,6 +78,7 @@
   std::string partial_;
   Answer pending_;
   std::size_t need_ = 0;
+  std::string_view piece_;
 };
 
 }  // namespace violetusher::protocol
--- /dev/null
+++ b/tests/net/long_value_test.cpp
@@ -0,0 +1,193 @@
+// Values too long to hold, passed on as they come: whole, bounded, and cut off so that a client can
+// tell.
+#include <random>
+
+#include "net_support.hpp"
+#include "protocol/meta.hpp"
+
+namespace violetusher::net::test {
+namespace {
+
+constexpr std::size_t kLength = 3'000'000;
+
+std::string long_value(std::size_t length = kLength) {
+  std::string value(length, ' ');
+  std::mt19937 random(3);
+  for (char& c : value) c = static_cast<char>(random());  // line ends among them
+  return value;
+}
+
+std::string head_of(const std::string& id, std::size_t length = kLength) {
+  return "VA " + std::to_string(length) + " O" + id;
+}
+
+std::string long_answer(const std::string& line, std::size_t length = kLength) {
+  return head_of(id_of(line), length) + " h1 Lload_share=0.5\r\n" + long_value(length) + "\r\n";
+}
+
+TEST(LongValue, ReaderGivesTheSameBytesHoweverTheyCome) {
+  std::vector<violetusher::ReportField> fields{violetusher::ReportField::Utilization};
+  std::string value = long_value(200'000);
+  std::string all =
+      "VA 2 Oa\r\nhi\r\n" + head_of("b", value.size()) + " h1\r\n" + value + "\r\nHD Oc cR\r\n";
+  std::mt19937 random(5);
+  for (int round = 0; round < 50; ++round) {
+    protocol::AnswerReader reader(&fields);
+    std::string got;
+    std::vector<std::string> events;
+    std::size_t most = round == 0 ? 1 : 1 + random() % 40'000;
+    for (std::size_t at = 0; at < all.size();) {
+      std::size_t size = std::min(all.size() - at, 1 + random() % most);
+      std::string_view in(all.data() + at, size);
+      at += size;
+      protocol::Answer answer;
+      for (auto what = reader.take(in, answer); what != protocol::AnswerReader::Got::Nothing;
+           what = reader.take(in, answer)) {
+        ASSERT_NE(what, protocol::AnswerReader::Got::Broken);
+        if (what == protocol::AnswerReader::Got::Piece)
+          got += reader.piece();
+        else
+          events.push_back((what == protocol::AnswerReader::Got::Begin ? "begin " : "") +
+                           answer.id);
+      }
+    }
+    EXPECT_EQ(events, (std::vector<std::string>{"a", "begin b", "b", "c"}));
+    EXPECT_TRUE(got == value);
+    EXPECT_FALSE(reader.in_answer());
+  }
+}
+
+TEST(LongValue, ReaderRefusesWhatIsTooLongOrHasNoEnd) {
+  std::vector<violetusher::ReportField> fields;
+  protocol::AnswerReader too_long(&fields);
+  protocol::Answer answer;
+  std::string text = head_of("a", protocol::kMaxLong + 1) + "\r\n";
+  std::string_view in = text;
+  EXPECT_EQ(too_long.take(in, answer), protocol::AnswerReader::Got::Broken);
+  protocol::AnswerReader no_end(&fields);
+  text = head_of("a", 70'000) + "\r\n" + std::string(70'000, 'x') + "xx";
+  in = text;
+  EXPECT_EQ(no_end.take(in, answer), protocol::AnswerReader::Got::Begin);
+  EXPECT_EQ(no_end.take(in, answer), protocol::AnswerReader::Got::Piece);
+  EXPECT_EQ(no_end.take(in, answer), protocol::AnswerReader::Got::Broken);
+}
+
+/// Values asked for at once on one connection: more than the kernel's buffers take in.
+constexpr int kEach = 6;
+
+std::string name(int client, int k) { return std::to_string(client) + "-" + std::to_string(k); }
+
+TEST(LongValue, SlowReadersGetItWholeWithinTheBuffers) {
+  LineServer cache([](const std::string& line, int) { return long_answer(line); });
+  RunningRouter router({.dials = {cache.address()}, .memory_mb = 8, .deadline_us = "300000"});
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int c = 0; c < 3; ++c) {
+    clients.push_back(std::make_unique<Client>(router.port()));
+    for (int k = 0; k < kEach; ++k) clients.back()->send(read_command(name(c, k), "k", "300"));
+  }
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.client_buffered() > 0; }));
+  // All deadlines pass while the values come; none is cut off for that.
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  std::string value = long_value();
+  int whole = 0;
+  for (int c = 0; c < 3; ++c)
+    for (int k = 0; k < kEach; ++k) {
+      router.post([](Router& r) { EXPECT_LE(r.client_buffered(), 1u << 20); });
+      std::string line = clients[c]->line();
+      if (line == "SERVER_ERROR busy") continue;  // stood behind others until its time was over
+      ASSERT_EQ(line, head_of(name(c, k)));
+      ++whole;
+      ASSERT_TRUE(clients[c]->bytes(kLength) == value);
+      ASSERT_EQ(clients[c]->line(), "");
+    }
+  EXPECT_GE(whole, 6);
+  EXPECT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 0; }));
+}
+
+TEST(LongValue, OneThatReadsNothingHoldsUpNobodyAndIsGivenUp) {
+  LineServer cache([](const std::string& line, int) {
+    return id_of(line)[0] == 'l' ? long_answer(line) : value_for(line);
+  });
+  LineServer other(good_cache);
+  RunningRouter router({.dials = {cache.address(), other.address()}});
+  Client stuck(router.port());
+  for (int k = 0; k < kEach; ++k) stuck.send(read_command("l" + std::to_string(k)));
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.client_buffered() > 0; }));
+  Client client(router.port());
+  for (int k = 0; k < 50; ++k) {
+    std::string id = "s" + std::to_string(k);
+    client.send(read_command(id, id));
+    ASSERT_EQ(client.line(), "VA 5 O" + id);
+    client.line();
+  }
+  ASSERT_TRUE(router.eventually([](Router& r) {
+    return r.open_requests() == 0 && r.client_connections() <= 1 && r.client_buffered() == 0;
+  }));
+}
+
+TEST(LongValue, CutOffByTheServerItIsCutOffForTheClient) {
+  LineServer cache(
+      [](const std::string& line, int) { return long_answer(line).substr(0, kLength / 2); },
+      /*close_after_reply=*/true);
+  RunningRouter router({.dials = {cache.address()}});
+  Client client(router.port());
+  client.send(read_command("a1"));
+  EXPECT_EQ(client.line(), head_of("a1"));
+  std::string got = client.read_all();
+  EXPECT_TRUE(client.ended());
+  EXPECT_LT(got.size(), kLength);
+  EXPECT_TRUE(long_value().compare(0, got.size(), got) == 0);
+  EXPECT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 0; }));
+  EXPECT_EQ(cache.lines().size(), 1u);  // no attempt after the answer has begun
+}
+
+TEST(LongValue, GarbledEndAndSilenceAreCutOffToo) {
+  for (bool silent : {false, true}) {
+    LineServer cache([silent](const std::string& line, int) {
+      std::string text = long_answer(line);
+      return text.substr(0, text.size() - 2) + (silent ? "" : "xx");
+    });
+    RunningRouter router({.dials = {cache.address()}});
+    Client client(router.port());
+    client.send(read_command("a1"));
+    client.read_all();
+    EXPECT_TRUE(client.ended()) << silent;
+    EXPECT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 0; }));
+  }
+}
+
+TEST(LongValue, AClientThatLeavesEndsIt) {
+  LineServer cache([](const std::string& line, int) { return long_answer(line); });
+  RunningRouter router({.dials = {cache.address()}});
+  {
+    Client client(router.port());
+    client.send(read_command("a1"));
+    EXPECT_EQ(client.line(), head_of("a1"));
+  }
+  ASSERT_TRUE(router.eventually([](Router& r) {
+    return r.open_requests() == 0 && r.server_connections() == 0 && r.client_buffered() == 0;
+  }));
+  Client next(router.port());
+  next.send(read_command("a2"));
+  EXPECT_EQ(next.line(), head_of("a2"));
+  EXPECT_TRUE(next.bytes(kLength) == long_value());
+}
+
+TEST(LongValue, AnswersOfOneConnectionKeepTheirOrder) {
+  LineServer cache([](const std::string& line, int) {
+    return id_of(line)[0] == 'l' ? long_answer(line) : value_for(line);
+  });
+  RunningRouter router({.dials = {cache.address()}});
+  Client client(router.port());
+  client.send(read_command("s1", "k1") + read_command("l1", "k2") + read_command("s2", "k3") +
+              read_command("l2", "k4"));
+  for (const std::string id : {"s1", "l1", "s2", "l2"}) {
+    EXPECT_EQ(client.line(), id[0] == 'l' ? head_of(id) : "VA 5 O" + id);
+    EXPECT_TRUE(client.bytes(id[0] == 'l' ? kLength : 5) ==
+                (id[0] == 'l' ? long_value() : "price"));
+    EXPECT_EQ(client.line(), "");
+  }
+}
+
+}  // namespace
+}  // namespace violetusher::net::test
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -63,6 +63,14 @@
     if (!text.empty() && text.back() == '\r') text.pop_back();
     return text;
   }
+  /// So many bytes, or what has come where the connection ends first.
+  std::string bytes(std::size_t count) {
+    while (in_.size() < count && more()) {
+    }
+    std::string text = in_.substr(0, count);
+    in_.erase(0, count);
+    return text;
+  }
   /// All that comes until the connection ends; "(open)" at the end where it doesn't.
   std::string read_all() {
     while (more()) {
@@ -126,25 +134,41 @@
 
  private:
   void serve() {
-    std::map<int, std::pair<Fd, std::string>> open;
+    std::map<int, Peer> open;
     while (!stop_) {
       std::vector<pollfd> polls{{listener_.get(), POLLIN, 0}};
-      for (auto& [fd, c] : open) polls.push_back({fd, POLLIN, 0});
+      for (auto& [fd, c] : open)
+        polls.push_back({fd, static_cast<short>(POLLIN | (c.out.empty() ? 0 : POLLOUT)), 0});
       ::poll(polls.data(), polls.size(), 10);
       if (polls[0].revents) {
         Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
         ++accepted_;
         int key = fd.get();
-        open[key].first = std::move(fd);
+        open[key].fd = std::move(fd);
       }
       for (std::size_t k = 1; k < polls.size(); ++k)
-        if (polls[k].revents && !read(polls[k].fd, open[polls[k].fd].second))
+        if (polls[k].revents && !serve(open[polls[k].fd], polls[k].revents))
           open.erase(polls[k].fd);
     }
   }
-  bool read(int fd, std::string& in) {
+  struct Peer {
+    Fd fd;
+    std::string in, out;
+    bool closes = false;  ///< once all is written
+  };
+  bool serve(Peer& peer, short what) {
+    if ((what & ~POLLOUT) && !peer.closes && !read(peer)) return false;
+    // One that takes nothing holds up nobody else.
+    ssize_t put =
+        ::send(peer.fd.get(), peer.out.data(), peer.out.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (put > 0) peer.out.erase(0, static_cast<std::size_t>(put));
+    if (put < 0 && errno != EAGAIN && errno != EWOULDBLOCK) return false;
+    return !peer.closes || !peer.out.empty();
+  }
+  bool read(Peer& peer) {
+    std::string& in = peer.in;
     char bytes[4096];
-    ssize_t got = ::recv(fd, bytes, sizeof bytes, 0);
+    ssize_t got = ::recv(peer.fd.get(), bytes, sizeof bytes, 0);
     if (got <= 0) return false;
     in.append(bytes, static_cast<std::size_t>(got));
     for (std::size_t end; (end = in.find("\r\n")) != in.npos;) {
@@ -158,8 +182,11 @@
       }
       std::string text = reply_(line, number);
       if (text == kClose) return false;
-      if (!text.empty()) ::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
-      if (close_after_reply_ && !text.empty()) return false;
+      peer.out += text;
+      if (close_after_reply_ && !text.empty()) {
+        peer.closes = true;
+        return true;
+      }
     }
     return true;
   }
--- a/tests/net/server_side_test.cpp
+++ b/tests/net/server_side_test.cpp
@@ -74,6 +74,8 @@
 TEST(Servers, ThatHaveLeftLeaveNothingBehind) {
   struct Ignore : ServerSide::Handler {
     void on_attempt_end(RequestId, int, Status, Answer&&) override {}
+    bool on_attempt_begin(RequestId, int, const Answer&) override { return false; }
+    bool on_attempt_piece(RequestId, int, std::string_view) override { return true; }
   } ignore;
   EventBasePtr base(event_base_new());
   SystemIo io(base.get());
@@ -100,6 +102,8 @@
     side->take_list(parse_host_list(host_list("2", {host_entry("s-0", cache.address())})));
   }
   void on_attempt_end(RequestId id, int, Status status, Answer&&) override { ended[id] = status; }
+  bool on_attempt_begin(RequestId, int, const Answer&) override { return false; }
+  bool on_attempt_piece(RequestId, int, std::string_view) override { return true; }
   void send(RequestId id) {
     CommandReader reader;
     std::string text = read_command("a" + std::to_string(id));
