Believe a long value's length once 16 KiB of it have come; else try elsewhere

Answers whose length is a lie were passed on as long values from the first byte on, so they ended cut off at the client instead of being tried elsewhere. Now the head is held until 16 KiB have come: until then such an answer is a failed attempt, as before.

--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -22,6 +22,8 @@
 constexpr Micros kPartTime = 60 * kMillisecond;
 // The same of a long value while it may come: servers write them in pieces, over seconds.
 constexpr Micros kLongPartTime = 4 * kSecond;
+// Bytes of a long value that must have come before its length is believed and it is passed on.
+constexpr std::size_t kBelieved = 16u << 10;
 // What a server does right behind an answer, be it a close, a second copy or noise, shows within
 // this. Until then the connection is used for another request only where there is no other idle
 // one.
@@ -150,22 +152,11 @@
         return;
       }
       if (what == AnswerReader::Got::Begin) {
-        Entry& e = entries_.front();
-        long_ = true;
-        if (e.live) e.live = side_.handler_.on_attempt_begin(e.id, e.attempt, answer);
-        // Neighbours are not taken along: for them it is read and dropped.
-        if (!e.live && forsaken()) {
-          side_.close(*this);
-          return;
-        }
+        head_ = answer;
         continue;
       }
       if (what == AnswerReader::Got::Piece) {
-        Entry& e = entries_.front();
-        if (e.live && !side_.handler_.on_attempt_piece(e.id, e.attempt, reader_.piece())) {
-          paused_ = true;
-          watch_->read(false);
-        }
+        take_piece(reader_.piece());
         continue;
       }
       kept_ = true;
@@ -185,6 +176,31 @@
     if ((sent_ == 0 && reader_.in_answer()) || (entries_.empty() && retiring_)) side_.close(*this);
   }
 
+  /// A long value is passed on once more of it has come than answers whose length is a lie bring:
+  /// until then it can still be a failed attempt, and tried elsewhere.
+  void take_piece(std::string_view piece) {
+    Entry& e = entries_.front();
+    if (!long_) {
+      early_.append(piece);
+      if (early_.size() < kBelieved) return;
+      long_ = true;
+      std::string first = std::exchange(early_, std::string());
+      if (e.live) e.live = side_.handler_.on_attempt_begin(e.id, e.attempt, head_);
+      if (e.live) pass(first);
+      // Neighbours are not taken along: for them it is read and dropped.
+      if (!e.live && forsaken()) side_.close(*this);
+    } else if (e.live) {
+      pass(piece);
+    }
+  }
+
+  void pass(std::string_view piece) {
+    const Entry& e = entries_.front();
+    if (side_.handler_.on_attempt_piece(e.id, e.attempt, piece)) return;
+    paused_ = true;
+    watch_->read(false);
+  }
+
   static Status status_of(const Answer& answer) {
     switch (answer.kind) {
       case Answer::Kind::Busy:
@@ -230,7 +246,9 @@
   bool closed_ = false;
   bool kept_ = false;  // has answered before
   bool ended_by_peer_ = false;
-  bool long_ = false;    // a long value is coming
+  Answer head_;          // of a long value
+  std::string early_;    // of it, before it is believed
+  bool long_ = false;    // it is passed on, or dropped, as it comes
   bool paused_ = false;  // it is not read until its client has read what came
   Micros used_at_;
   Micros read_at_ = 0;  // bytes came last
--- a/tests/net/long_value_test.cpp
+++ b/tests/net/long_value_test.cpp
@@ -149,6 +149,21 @@
   EXPECT_EQ(cache.lines().size(), 1u);  // no attempt after the answer has begun
 }
 
+TEST(LongValue, ALengthThatIsALieIsAFailedAttemptAndTriedElsewhere) {
+  std::atomic<int> lies{0};
+  auto liar = [&](const std::string& line, int) {
+    if (lies++ > 0) return value_for(line);
+    return head_of(id_of(line)) + "\r\nprice\r\n";
+  };
+  LineServer one(liar), two(liar);
+  RunningRouter router({.dials = {one.address(), two.address()}});
+  Client client(router.port());
+  client.send(read_command("a1"));
+  EXPECT_EQ(client.line(), "VA 5 Oa1");
+  EXPECT_EQ(client.line(), "price");
+  EXPECT_EQ(lies, 2);
+}
+
 TEST(LongValue, GarbledEndAndSilenceAreCutOffToo) {
   for (bool silent : {false, true}) {
     LineServer cache([silent](const std::string& line, int) {
