--- a/tests/daemon/flight_test.cpp
+++ b/tests/daemon/flight_test.cpp
@@ -133,5 +133,40 @@
   EXPECT_FALSE(fs::exists(daemon.path()));
 }
 
+/// What the platform counts: nothing more is opened or held than the loop and the listener need.
+TEST(Footprint, WithoutAnOperatorFileIsThatOfTheLoopAndTheListener) {
+  LineServer cache(good_cache);
+  auto links = [](const std::string& of) {
+    std::vector<std::string> all;
+    for (const auto& entry : fs::directory_iterator("/proc/" + of + "/fd")) {
+      std::error_code error;
+      all.push_back(fs::read_symlink(entry.path(), error));
+    }
+    return all;
+  };
+  Daemon daemon(cache, false);
+  auto ours = links("self");  // what the test itself was given, the daemon inherits
+  std::string process = "/proc/" + std::to_string(daemon.pid());
+  int sockets = 0, loops = 0;
+  for (const std::string& what : links(std::to_string(daemon.pid()))) {
+    if (std::find(ours.begin(), ours.end(), what) != ours.end() && what.find("anon") == what.npos)
+      continue;
+    sockets += what.rfind("socket:", 0) == 0;
+    loops += what.find("[eventpoll]") != what.npos;
+  }
+  EXPECT_EQ(loops, 1);
+  EXPECT_LE(sockets, 5);  // the listener, two for signals, a call of discovery that may be out
+#if !defined(__SANITIZE_ADDRESS__)
+  for (int k = 0; k < 50; ++k) ask(daemon.port(), "a" + std::to_string(k));
+  std::ifstream status(process + "/status");
+  std::string word;
+  long resident = 0;
+  while (status >> word)
+    if (word == "VmRSS:") status >> resident;
+  EXPECT_GT(resident, 0);
+  EXPECT_LT(resident, 12 * 1024) << "KiB, where the platform gives 32 MiB";
+#endif
+}
+
 }  // namespace
 }  // namespace violetusher::net::test
