--- a/src/core/config/diff.cpp
+++ b/src/core/config/diff.cpp
@@ -57,16 +57,6 @@
   return text + "; limit " + limit_text(m, p.limit) + "; budget " + budget_text(m, p.budget);
 }
 
-std::string subject_of(const RouteMatch& r) {
-  std::string text;
-  auto add = [&](const std::string& part) { text += (text.empty() ? "" : ", ") + part; };
-  if (!r.listener.empty()) add("listener " + r.listener);
-  if (!r.tenant.empty()) add("tenant " + r.tenant);
-  if (!r.type.empty()) add("class " + r.type);
-  if (!r.prefix.empty()) add("prefix \"" + r.prefix + "\"");
-  return text.empty() ? "all requests" : text;
-}
-
 template <typename Map, typename Text>
 void compare(const char* kind, const Map& before, const Map& after, Text text,
              std::vector<Change>& out) {
@@ -83,6 +73,16 @@
 
 }  // namespace
 
+std::string subject_of(const RouteMatch& r) {
+  std::string text;
+  auto add = [&](const std::string& part) { text += (text.empty() ? "" : ", ") + part; };
+  if (!r.listener.empty()) add("listener " + r.listener);
+  if (!r.tenant.empty()) add("tenant " + r.tenant);
+  if (!r.type.empty()) add("class " + r.type);
+  if (!r.prefix.empty()) add("prefix \"" + r.prefix + "\"");
+  return text.empty() ? "all requests" : text;
+}
+
 Routing::Routing(const Model& model)
     : names([&] {
         std::vector<std::string> list;
--- a/src/core/config/diff.hpp
+++ b/src/core/config/diff.hpp
@@ -35,6 +35,9 @@
 /// What becomes of a request by a route, free of names: pool's members, fallbacks, limits, budget.
 std::string effect_of(const Model& model, const std::string* route);
 
+/// Whom a match is about, for people.
+std::string subject_of(const RouteMatch& match);
+
 /// The route taken, step by step, for people.
 std::string explain(const Model& model, const RouteRequest& request);
 
--- /dev/null
+++ b/src/core/config/moved_keys.cpp
@@ -0,0 +1,78 @@
+#include "moved_keys.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "core/route/traffic.hpp"
+
+namespace violetusher::core::config {
+namespace {
+
+/// The home of each sample key in a pool, empty where it has none.
+std::vector<std::string> homes_of(const Pool& pool, const std::vector<Server>& list,
+                                  const std::vector<std::string>& keys) {
+  std::vector<Server> members;
+  for (const std::string& address : pool.servers) {
+    Server s;
+    s.id = address;
+    members.push_back(std::move(s));
+  }
+  for (const Server& s : list)
+    if (pool.servers.empty() && selected(pool, s)) members.push_back(s);
+  Settings settings;
+  settings.classes.emplace_back();
+  Balancer balancer(settings, 1, 0);
+  balancer.on_list(0, ListScope::Full, members);
+  std::vector<std::string> homes;
+  for (const std::string& key : keys) homes.push_back(balancer.home(key));
+  return homes;
+}
+
+}  // namespace
+
+std::vector<MovedKeys> moved_keys(const Model& before, const Model& after,
+                                  const std::vector<Server>& list, int keys) {
+  Routing old_routing(before), new_routing(after);
+  // The requests that some route of either names, the widest first.
+  std::vector<RouteMatch> matches = old_routing.matches;
+  matches.insert(matches.end(), new_routing.matches.begin(), new_routing.matches.end());
+  auto named = [](const RouteMatch& r) {
+    return !r.listener.empty() + !r.tenant.empty() + !r.type.empty() + !r.prefix.empty();
+  };
+  std::stable_sort(matches.begin(), matches.end(),
+                   [&](const RouteMatch& a, const RouteMatch& b) { return named(a) < named(b); });
+  std::vector<std::string> sample;
+  for (int k = 0; k < keys; ++k) sample.push_back("sample:" + std::to_string(k));
+  std::map<std::pair<const Model*, std::string>, std::vector<std::string>> homes;
+  auto homes_in = [&](const Model& model, const std::string& pool) -> const auto& {
+    auto [it, fresh] = homes.try_emplace({&model, pool});
+    if (fresh)
+      it->second = pool.empty() ? std::vector<std::string>(sample.size())
+                                : homes_of(model.pools.at(pool), list, sample);
+    return it->second;
+  };
+  auto pool_of = [](const Model& model, const std::string* route) {
+    return route ? model.routes.at(*route).pool : std::string();
+  };
+  std::set<std::pair<std::string, std::string>> told;
+  std::vector<MovedKeys> out;
+  for (const RouteMatch& match : matches) {
+    RouteRequest request{match.listener, match.tenant, match.type, match.prefix};
+    MovedKeys m{match, pool_of(before, old_routing.find(request)),
+                pool_of(after, new_routing.find(request)), 0, 0};
+    if (!told.insert({m.before, m.after}).second) continue;
+    const auto& was = homes_in(before, m.before);
+    const auto& is = homes_in(after, m.after);
+    for (std::size_t k = 0; k < sample.size(); ++k) {
+      m.share += was[k] != is[k];
+      m.nobody += is[k].empty();
+    }
+    m.share /= keys, m.nobody /= keys;
+    if (m.share > 0) out.push_back(std::move(m));
+  }
+  return out;
+}
+
+}  // namespace violetusher::core::config
--- a/src/core/limit/limits.cpp
+++ b/src/core/limit/limits.cpp
@@ -45,11 +45,11 @@
     : set_(settings), bucket_(std::max(settings.rate, 1e-9), std::max(settings.burst, 1.0)) {}
 
 Limiter::Answer Limiter::admit(Micros now) {
-  if (set_.in_flight > 0 && in_flight_ >= set_.in_flight) return {false, set_.come_back};
+  if (set_.in_flight > 0 && in_flight_ >= set_.in_flight) return {false, set_.come_back, this};
   if (set_.rate > 0 && !bucket_.take(now))
-    return {false, std::max(set_.come_back, bucket_.wait(now))};
+    return {false, std::max(set_.come_back, bucket_.wait(now)), this};
   ++in_flight_;
-  return {true, 0};
+  return {true};
 }
 
 void Limiter::undo() {
@@ -69,7 +69,7 @@
     while (k-- > 0) limits[k]->undo();
     return answer;
   }
-  return {true, 0};
+  return {true};
 }
 
 void RetryBudget::move(Micros now) {
--- a/src/core/limit/limits.hpp
+++ b/src/core/limit/limits.hpp
@@ -44,6 +44,7 @@
   struct Answer {
     bool admitted = false;
     Micros come_back = 0;
+    const Limiter* by = nullptr;  ///< who refused
   };
   /// Admits one request, which release() must end.
   Answer admit(Micros now);
--- a/src/core/route/traffic.cpp
+++ b/src/core/route/traffic.cpp
@@ -37,8 +37,14 @@
         return;
       }
     budgets_[user] = {set, std::make_shared<RetryBudget>(set.retries, set.floor),
-                      std::make_shared<RetryBudget>(set.hedges, 0)};
+                      std::make_shared<RetryBudget>(set.hedges, 0),
+                      std::make_shared<PoolTrouble>()};
   };
+  // Where all are of one worth there is nothing to order.
+  std::map<std::string, std::int64_t> worth;
+  bool differ = false;
+  for (const auto& [name, c] : model_.classes) worth[name] = c.worth, differ |= c.worth != 1;
+  bool same_worth = before && before->model_.classes == model_.classes;
   for (const auto& [name, t] : model_.tenants) limiter("tenant " + name, t.limit);
   for (const auto& [name, c] : model_.classes) limiter("class " + name, c.limit);
   for (const auto& [name, r] : model_.routes) {
@@ -59,6 +65,12 @@
   }
   for (const auto& [name, p] : model_.pools) {
     limiter("pool " + name, p.limit);
+    if (differ && !p.limit.empty()) {
+      auto kept = same_worth ? before->worth_.find(name) : decltype(worth_)::const_iterator{};
+      worth_[name] = same_worth && kept != before->worth_.end()
+                         ? kept->second
+                         : std::make_shared<WorthOrder>(worth);
+    }
     budgets("pool " + name, p.budget);
     if (p.shares.empty() || p.limit.empty()) continue;
     const config::Limit& set = model_.limits.at(p.limit);
@@ -124,18 +136,42 @@
       d.ticket.crossed = true;
     }
   }
-  auto limiters = limiters_of(d.ticket);
-  Limiter::Answer answer = admit_all(now, limiters);
-  FairShares* shares = shares_of(d.ticket);
-  if (answer.admitted && shares && !shares->admit(now, d.ticket.tenant)) {
-    for (Limiter* l : limiters) l->undo();
-    answer = {false, shares_.at(*d.ticket.pool).first.come_back};
-  }
+  Limiter::Answer answer = admit_by_worth(now, d.ticket, limiters_of(d.ticket));
   d.admitted = d.ticket.holds = answer.admitted;
   d.come_back = answer.come_back;
   return d;
 }
 
+/// Asks the limits and the shares, unless the request must give way to worthier ones.
+Limiter::Answer Traffic::admit_by_worth(Micros now, const Ticket& ticket,
+                                        const std::vector<Limiter*>& limiters) {
+  auto it = worth_.find(*ticket.pool);
+  WorthOrder* worth = it == worth_.end() ? nullptr : it->second.get();
+  if (worth && !worth->may_ask(now, ticket.type))
+    return {false, model_.limits.at(model_.pools.at(*ticket.pool).limit).come_back};
+  Limiter::Answer answer = admit_all(now, limiters);
+  // A limit of its own, of a tenant, class or route, says nothing of the pool.
+  auto pool = limiters_.find("pool " + *ticket.pool);
+  bool by_pool = !answer.admitted && pool != limiters_.end() && answer.by == pool->second.get();
+  FairShares* shares = shares_of(ticket);
+  if (answer.admitted && shares && !shares->admit(now, ticket.tenant)) {
+    for (Limiter* l : limiters) l->undo();
+    answer = {false, shares_.at(*ticket.pool).first.come_back};
+    by_pool = true;
+  }
+  if (worth && (answer.admitted || by_pool)) worth->on_answer(now, ticket.type, answer.admitted);
+  return answer;
+}
+
+void Traffic::on_attempt_end(Micros now, const Ticket& ticket, bool failed) {
+  Budgets* b = budgets_of(ticket);
+  if (!b) return;
+  b->trouble->on_end(now, failed);
+  double factor = b->trouble->factor(now);
+  b->retries->tighten(factor);
+  b->hedges->tighten(factor);
+}
+
 void Traffic::end(Micros now, Ticket& ticket, bool refused) {
   if (!ticket.holds) return;
   ticket.holds = false;
--- a/src/core/route/traffic.hpp
+++ b/src/core/route/traffic.hpp
@@ -13,6 +13,7 @@
 #include "core/config/diff.hpp"
 #include "core/config/model.hpp"
 #include "core/limit/limits.hpp"
+#include "core/limit/worth.hpp"
 
 namespace violetusher::core {
 
@@ -46,6 +47,9 @@
   void end(Micros now, Ticket& ticket, bool refused);
   /// A first try of a pool was sent.
   void on_first(Micros now, const Ticket& ticket);
+  /// An attempt has ended, `failed` in a way that tells of its server or of load. Budgets of a pool
+  /// that fails are tightened.
+  void on_attempt_end(Micros now, const Ticket& ticket, bool failed);
   /// Whether the budgets of the route and its pool have another retry, or hedge, left. The decision
   /// module has decided on it already: this can only say no.
   bool may_retry(Micros now, const Ticket& ticket, bool hedge);
@@ -56,8 +60,11 @@
   struct Budgets {
     config::Budget set;
     std::shared_ptr<RetryBudget> retries, hedges;
+    std::shared_ptr<PoolTrouble> trouble;
   };
   std::vector<Limiter*> limiters_of(const Ticket& ticket) const;
+  Limiter::Answer admit_by_worth(Micros now, const Ticket& ticket,
+                                 const std::vector<Limiter*>& limiters);
   FairShares* shares_of(const Ticket& ticket) const;
   Budgets* budgets_of(const Ticket& ticket);
   template <typename T>
@@ -67,6 +74,7 @@
   config::Routing routing_;
   std::map<std::string, std::shared_ptr<Limiter>> limiters_;  // by "tenant t", "class c", ...
   std::map<std::string, std::pair<config::Limit, std::shared_ptr<FairShares>>> shares_;  // by pool
+  std::map<std::string, std::shared_ptr<WorthOrder>> worth_;    // by pool with a limit
   std::map<std::string, Budgets> budgets_;                      // by "route r" or "pool p"
   std::map<std::string, std::shared_ptr<Fallback>> fallbacks_;  // by route
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -56,6 +56,7 @@
         router_(io_, config, log_) {
     if (operator_file.empty()) return;
     auto model = load_operator_file(operator_file, &config);
+    router_.listen_besides(model);
     recorders_ = model.recorders;
     if (!model.recorders.empty()) record(model.recorders.begin()->second);
     use(std::move(model));
@@ -111,6 +112,7 @@
              log.level == "error"  ? Log::Level::kError
              : log.level == "warn" ? Log::Level::kWarn
                                    : Log::Level::kInfo);
+    model_ = model;
     router_.operate(std::move(model));
   }
 
@@ -125,7 +127,11 @@
       auto model = load_operator_file(operator_file_, &config);
       if (model.recorders != recorders_)
         say(Log::Level::kWarn, "reload-needs-restart", "reload: recorder differs: needs a restart");
-      if (!router_.reload(config)) return false;
+      router_.listen_besides(model);
+      if (!router_.reload(config)) {
+        router_.listen_besides(model_);
+        return false;
+      }
       use(std::move(model));
       return true;
     } catch (const std::exception& e) {
@@ -152,6 +158,7 @@
   Log log_;
   std::string name_, operator_file_;
   std::map<std::string, violetusher::core::config::Recorder> recorders_;  // as at the start
+  violetusher::core::config::Model model_;                                // in use
   std::unique_ptr<FlightFile> flight_;
   Router router_;
   std::vector<EventPtr> signals_;
--- a/src/kit/config/command.cpp
+++ b/src/kit/config/command.cpp
@@ -7,7 +7,9 @@
 
 #include "core/config/diff.hpp"
 #include "core/config/model.hpp"
+#include "core/config/moved_keys.hpp"
 #include "kit/common/files.hpp"
+#include "kit/common/units.hpp"
 #include "net/operator_file.hpp"
 
 namespace violetusher::kit {
@@ -69,10 +71,37 @@
   return kWrongInput;
 }
 
-int diff(const std::string& before, const std::string& after, bool json) {
+/// The keys that move, given a discovery list. False where that can't be read.
+bool add_moved_keys(const config::Model& before, const config::Model& after,
+                    const std::string& list, int keys, std::vector<config::Change>& changes) {
+  std::string text, error = net::read_plain_file(list, text);
+  std::vector<violetusher::Server> servers;
+  try {
+    if (error.empty())
+      for (const net::Host& host : net::parse_host_list(text).hosts) servers.push_back(host.server);
+  } catch (const net::ConfigError& e) {
+    error = e.what();
+  }
+  if (!error.empty()) {
+    std::fprintf(stderr, "%s: %s\n", list.c_str(), error.c_str());
+    return false;
+  }
+  auto name = [](const std::string& pool) { return pool.empty() ? "no pool" : "pool " + pool; };
+  for (const auto& m : config::moved_keys(before, after, servers, keys)) {
+    std::string what = percent(m.share) + " of keys move to another server (" + name(m.before) +
+                       " -> " + name(m.after) + ")";
+    if (m.nobody > 0) what += "; " + percent(m.nobody) + " have none";
+    changes.push_back({"keys", config::subject_of(m.match), what, m.match});
+  }
+  return true;
+}
+
+int diff(const std::string& before, const std::string& after, const std::string& list, int keys,
+         bool json) {
   auto a = compile(before), b = compile(after);
   if (!a || !b || !a->diagnostics.none() || !b->diagnostics.none()) return kWrongInput;
   auto changes = config::diff(a->model, b->model);
+  if (!list.empty() && !add_moved_keys(a->model, b->model, list, keys, changes)) return kWrongInput;
   if (json) {
     nlohmann::ordered_json list = nlohmann::ordered_json::array();
     for (const auto& c : changes)
@@ -94,7 +123,8 @@
 }
 
 struct Options {
-  std::string file, other, type, tenant, key, listener;
+  std::string file, other, list, type, tenant, key, listener;
+  int keys = 10'000;
   bool check = false, write = false, json = false;
 };
 
@@ -118,8 +148,12 @@
       sub->add_subcommand("diff", "What changes in effect; exit code 1 where anything does");
   d->add_option("old", o->file)->required();
   d->add_option("new", o->other)->required();
+  d->add_option("--list", o->list, "a discovery list (JSON): tell the share of keys that move");
+  d->add_option("--keys", o->keys, "sample keys for that")
+      ->check(CLI::Range(100, 1'000'000))
+      ->capture_default_str();
   d->add_flag("--json", o->json);
-  d->callback([o, &code] { code = diff(o->file, o->other, o->json); });
+  d->callback([o, &code] { code = diff(o->file, o->other, o->list, o->keys, o->json); });
   CLI::App* e = sub->add_subcommand("explain", "The route that a request takes, step by step");
   e->add_option("file", o->file)->required();
   e->add_option("--class", o->type);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -108,6 +108,7 @@
     side_.answer(Owed(slot), {}, Reply(Reply::Kind::Busy));
     return;
   }
+  command.listener = listener_;
   RequestId id = side_.handler_.on_command(Owed(slot), std::move(command));
   if (!slot.done) slot.id = id;
 }
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -46,6 +46,7 @@
   bool closed_ = false;
   Micros since_;           // first byte of the command under way, or start of the linger
   Micros used_at_;         // accepted, or last answered whole
+  std::string listener_;   // by which it came; empty = the platform's
   std::size_t index_ = 0;  // in ClientSide::connections_
 
  private:
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -1,11 +1,15 @@
 #include "client_side.hpp"
 
+#include <algorithm>
+
 #include "client_connection.hpp"
 
 namespace violetusher::net {
 namespace {
 
 constexpr Micros kSweep = kSecond / 20;
+// As many as may wait at a listener that goes.
+constexpr int kBacklog = 4096;
 
 }  // namespace
 
@@ -21,48 +25,91 @@
 ClientSide::~ClientSide() = default;
 
 bool ClientSide::adopt(int descriptor, std::string& error) {
-  listener_ = io_.adopt(descriptor, error);
-  shared_ = true;
-  return start_accepting();
+  auto listener = std::make_unique<Listener>(*this);
+  listener->socket = io_.adopt(descriptor, error);
+  listener->shared = true;
+  return start_accepting(std::move(listener));
 }
 
 bool ClientSide::listen(const sockaddr_in& address, std::string& error) {
-  listener_ = io_.listen(address, error);
-  return start_accepting();
+  auto listener = std::make_unique<Listener>(*this);
+  listener->socket = io_.listen(address, error);
+  return start_accepting(std::move(listener));
+}
+
+bool ClientSide::listen_besides(const std::map<std::string, std::string>& addresses,
+                                std::string& error) {
+  std::vector<std::unique_ptr<Listener>> fresh;
+  auto same = [](const Listener& l, const auto& wanted) {
+    return l.name == wanted.first && l.address == wanted.second;
+  };
+  for (const auto& wanted : addresses) {
+    if (std::any_of(listeners_.begin(), listeners_.end(),
+                    [&](const auto& l) { return same(*l, wanted); }))
+      continue;
+    auto listener = std::make_unique<Listener>(*this);
+    listener->name = wanted.first;
+    listener->address = wanted.second;
+    auto address = parse_address(wanted.second, true);
+    if (address) listener->socket = io_.listen(*address, error);
+    if (!listener->socket) {
+      error = "listener '" + wanted.first + "', " + wanted.second + ": " +
+              (address ? error : std::string("no address"));
+      return false;
+    }
+    fresh.push_back(std::move(listener));
+  }
+  std::erase_if(listeners_, [&](const auto& l) {
+    if (l->name.empty() || std::any_of(addresses.begin(), addresses.end(),
+                                       [&](const auto& wanted) { return same(*l, wanted); }))
+      return false;
+    accept_some(*l, kBacklog);
+    return true;
+  });
+  for (auto& listener : fresh) start_accepting(std::move(listener));
+  return true;
 }
 
-bool ClientSide::start_accepting() {
-  if (!listener_) return false;
-  accept_watch_ = io_.watch(listener_.number(), *this);
-  accept_watch_->read(true);
+bool ClientSide::start_accepting(std::unique_ptr<Listener> listener) {
+  if (!listener->socket) return false;
+  listener->watch = io_.watch(listener->socket.number(), *listener);
+  listener->watch->read(!accept_paused_);
+  listeners_.push_back(std::move(listener));
   return true;
 }
 
-std::uint16_t ClientSide::port() const { return io_.port(listener_.number()); }
+std::uint16_t ClientSide::port(const std::string& name) const {
+  for (const auto& l : listeners_)
+    if (l->name == name) return io_.port(l->socket.number());
+  return 0;
+}
+
+/// Watches are level-triggered: without a pause the loop would spin. A close or the sweep ends it.
+void ClientSide::pause_accepting(bool pause) {
+  accept_paused_ = pause;
+  for (auto& l : listeners_) l->watch->read(!pause);
+}
 
-void ClientSide::accept_some(int most) {
+void ClientSide::accept_some(Listener& listener, int most) {
   while (most-- > 0) {
     // Those that have said nothing have a third of the places: a crowd of them pushes out its own,
     // not the clients that ask.
     if (silent_ >= limits_.connections / 3) evict_silent();
     if (connections_.size() >= limits_.connections && !evict() &&
         connections_.size() >= limits_.connections + limits_.spare_connections) {
-      accept_paused_ = true;  // level-triggered: without this the loop would spin
-      accept_watch_->read(false);
+      pause_accepting(true);
       return;
     }
     Socket socket;
-    Io::Accepted accepted = io_.accept(listener_.number(), socket);
+    Io::Accepted accepted = io_.accept(listener.socket.number(), socket);
     if (accepted != Io::Accepted::kOne) {
-      if (accepted == Io::Accepted::kNoRoom && !evict()) {
-        accept_paused_ = true;  // a close or the sweep tries again
-        accept_watch_->read(false);
-      }
+      if (accepted == Io::Accepted::kNoRoom && !evict()) pause_accepting(true);
       return;
     }
     bool over = connections_.size() >= limits_.connections;
     connections_.push_back(std::make_unique<ClientConnection>(*this, std::move(socket), over));
     connections_.back()->index_ = connections_.size() - 1;
+    connections_.back()->listener_ = listener.name;
     ++silent_;
   }
 }
@@ -108,10 +155,7 @@
   for (std::size_t k = connections_.size(); k-- > 0;)  // from the end: closing moves the last one
     if (k < connections_.size() && connections_[k]->overdue(now))
       close(*connections_[k]);  // which may take others along
-  if (accept_paused_ && !draining_) {
-    accept_paused_ = false;
-    accept_watch_->read(true);
-  }
+  if (accept_paused_ && !draining_) pause_accepting(false);
 }
 
 void ClientSide::touch(ClientConnection& c) {
@@ -137,10 +181,7 @@
     connections_[at]->index_ = at;
   }
   connections_.pop_back();
-  if (accept_paused_ && !draining_) {
-    accept_paused_ = false;
-    accept_watch_->read(true);
-  }
+  if (accept_paused_ && !draining_) pause_accepting(false);
 }
 
 void ClientSide::answer(Owed&& owed, const std::string& id, const Reply& reply) {
@@ -216,14 +257,12 @@
 }
 
 void ClientSide::drain() {
-  if (draining_ || !listener_) return;
-  if (!shared_) {
-    if (accept_paused_) accept_watch_->read(true);
-    accept_some(4096);
-  }
+  if (draining_ || listeners_.empty()) return;
+  if (accept_paused_) pause_accepting(false);
+  for (auto& l : listeners_)
+    if (!l->shared) accept_some(*l, kBacklog);
   draining_ = true;
-  accept_watch_.reset();
-  listener_.reset();
+  listeners_.clear();
   // What is already in a socket's buffer was taken: it is read before the connection may close.
   for (std::size_t k = connections_.size(); k-- > 0;) {
     if (k >= connections_.size()) continue;
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -51,7 +52,7 @@
   ClientSlot* slot_ = nullptr;
 };
 
-class ClientSide final : Watch::Target {
+class ClientSide {
  public:
   /// Told of what clients do. Calls come from within the event loop.
   class Handler {
@@ -76,14 +77,19 @@
   };
 
   ClientSide(Io& io, Handler& handler, Limits limits);
-  ~ClientSide() override;
+  ~ClientSide();
 
   /// Listens on `address`; false with the reason in `error`.
   bool listen(const sockaddr_in& address, std::string& error);
   /// Takes connections from a listening socket that other processes take them from too.
   bool adopt(int descriptor, std::string& error);
-  /// The port that listen() got; for tests that ask for port 0.
-  std::uint16_t port() const;
+  /// Listens besides on just these addresses, by name; the name comes with the commands of its
+  /// connections. All or nothing: false with the reason in `error`, and nothing has changed. One
+  /// that goes is emptied first, and its connections go on.
+  bool listen_besides(const std::map<std::string, std::string>& addresses, std::string& error);
+  /// The port that a listener got, the platform's where no name is given; for tests that ask for
+  /// port 0. 0 where there is none.
+  std::uint16_t port(const std::string& name = {}) const;
 
   /// Gives the whole final answer to the request whose client calls it `id`. One that says Bad
   /// closes the connection after it: who sends what can't be used may send any number at full
@@ -111,9 +117,18 @@
 
  private:
   friend class ClientConnection;
-  void on_ready(unsigned) override { accept_some(kAcceptMost); }
-  bool start_accepting();
-  void accept_some(int most);
+  struct Listener final : Watch::Target {
+    explicit Listener(ClientSide& of) : side(of) {}
+    void on_ready(unsigned) override { side.accept_some(*this, kAcceptMost); }
+    ClientSide& side;
+    std::string name, address;  // both empty: the platform's
+    bool shared = false;        // others accept from it too
+    Socket socket;
+    std::unique_ptr<Watch> watch;
+  };
+  bool start_accepting(std::unique_ptr<Listener> listener);
+  void accept_some(Listener& listener, int most);
+  void pause_accepting(bool pause);
   bool evict();
   bool evict_silent();
   void bound_buffers();
@@ -133,10 +148,8 @@
   Io& io_;
   Handler& handler_;
   Limits limits_;
-  Socket listener_;
-  std::unique_ptr<Watch> accept_watch_;
+  std::vector<std::unique_ptr<Listener>> listeners_;
   std::unique_ptr<Alarm> sweep_alarm_;
-  bool shared_ = false;  // others accept from the listener too
   bool accept_paused_ = false;
   bool draining_ = false;
   std::vector<std::unique_ptr<ClientConnection>> connections_;
--- a/src/net/operator_file.cpp
+++ b/src/net/operator_file.cpp
@@ -68,11 +68,8 @@
     throw ConfigError(all);
   }
   const config::Model& m = compiled.model;
-  // What is set and would have no effect is told, not ignored.
-  for (const auto& [name, listener] : m.listeners)
-    if (name != "main")
-      throw ConfigError(path + ": listener '" + name +
-                        "': only 'main' is served, at the address of the configuration");
+  if (m.listeners.size() > kMostListeners)
+    throw ConfigError(path + ": more than " + std::to_string(kMostListeners) + " listeners");
   if (!settings) return std::move(compiled.model);
   const auto& classes = settings->settings.classes;
   for (const auto& [name, c] : m.classes) {
--- a/src/net/operator_file.hpp
+++ b/src/net/operator_file.hpp
@@ -8,6 +8,9 @@
 
 namespace violetusher::net {
 
+/// Listeners of one file: descriptors are set aside for so many.
+inline constexpr std::size_t kMostListeners = 8;
+
 /// The whole of an ordinary file of at most `core::config::kMostBytes`; returns what is wrong,
 /// empty where nothing is. Never waits: a fifo is turned away.
 std::string read_plain_file(const std::string& path, std::string& text);
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -102,6 +102,14 @@
   return true;
 }
 
+void Router::listen_besides(const core::config::Model& model) {
+  std::map<std::string, std::string> addresses;
+  for (const auto& [name, listener] : model.listeners)
+    if (name != "main") addresses[name] = listener.address;
+  std::string error;
+  if (!stopping_since_ && !clients_.listen_besides(addresses, error)) throw ConfigError(error);
+}
+
 void Router::operate(core::config::Model model) {
   // A file without routes leaves requests to the whole list, as no file does.
   bool routes = !model.routes.empty();
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -42,12 +42,15 @@
   /// goes by it. Requests that are open finish on the route and in the pool that they began with;
   /// pools that are gone end with their last request.
   void operate(core::config::Model model);
+  /// Listens on just those of the file's listeners, besides the configuration's own, which is
+  /// `main` there. Throws ConfigError where one can't be had; then nothing has changed.
+  void listen_besides(const core::config::Model& model);
   /// Notes what happens to each request in `ring`, which outlives the router, or in none; `alert`
   /// is told where a rule is close to being broken.
   void record(core::flight::Ring* ring, std::function<void(const char* what)> alert);
 
   const Config& config() const { return config_; }
-  std::uint16_t port() const { return clients_.port(); }
+  std::uint16_t port(const std::string& listener = {}) const { return clients_.port(listener); }
   std::uint16_t operator_port() const { return operations_.port(); }
   std::size_t pools() const { return pools_.modules(); }
   std::size_t open_requests() const { return core_.table().size(); }
--- a/src/protocol/command.hpp
+++ b/src/protocol/command.hpp
@@ -31,6 +31,7 @@
   double wait_ms = 0;                ///< how long the client waits for this try
   std::optional<std::int64_t> work;  ///< its guess of the work, microseconds on a standard core
   bool repeat = false;
+  std::string listener;  ///< by which it came; empty = the platform's
   /// What a codec needs to pass the request on as its client wrote it; no other code reads it. Of a
   /// meta command the line without its end, cut open where the figure of `d` stands.
   Wire wire = Wire::Meta;
@@ -44,7 +45,8 @@
 
 inline void Command::clear() {
   set = repeat = false;
-  for (std::string* text : {&id, &key, &type, &tenant, &idempotency, &value, &head, &tail})
+  for (std::string* text :
+       {&id, &key, &type, &tenant, &idempotency, &value, &listener, &head, &tail})
     text->clear();
   wait_ms = 0;
   work.reset();
