--- a/src/core/limit/limits.cpp
+++ b/src/core/limit/limits.cpp
@@ -62,7 +62,7 @@
   set_ = settings;
 }
 
-Limiter::Answer admit_all(Micros now, const std::vector<Limiter*>& limits) {
+Limiter::Answer admit_all(Micros now, std::span<Limiter* const> limits) {
   for (std::size_t k = 0; k < limits.size(); ++k) {
     Limiter::Answer answer = limits[k]->admit(now);
     if (answer.admitted) continue;
--- a/src/core/limit/limits.hpp
+++ b/src/core/limit/limits.hpp
@@ -4,8 +4,8 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
-#include <vector>
 
 #include "violetusher/balancer.hpp"
 
@@ -64,7 +64,7 @@
 };
 
 /// Admission by several limits: all or none.
-Limiter::Answer admit_all(Micros now, const std::vector<Limiter*>& limits);
+Limiter::Answer admit_all(Micros now, std::span<Limiter* const> limits);
 
 /// Retries as a part of first tries over the last ten seconds, with a floor a second. It can only
 /// say no: whether a retry makes sense is the decision module's to say.
--- a/src/core/limit/worth.cpp
+++ b/src/core/limit/worth.cpp
@@ -14,7 +14,7 @@
   classes_.try_emplace("");  // all that are not named: their number has no bound
 }
 
-WorthOrder::Class& WorthOrder::class_of(const std::string& type) {
+WorthOrder::Class& WorthOrder::class_of(std::string_view type) {
   auto it = classes_.find(type);
   return it != classes_.end() ? it->second : classes_.at("");
 }
@@ -29,7 +29,7 @@
   step_ = step;
 }
 
-bool WorthOrder::may_ask(Micros now, const std::string& type) {
+bool WorthOrder::may_ask(Micros now, std::string_view type) {
   move(now);
   const Class& mine = class_of(type);
   bool gives_way = false;
@@ -41,7 +41,7 @@
   return !gives_way || mine.admitted[0] + mine.admitted[1] < kFloor * all;
 }
 
-void WorthOrder::on_answer(Micros now, const std::string& type, bool admitted) {
+void WorthOrder::on_answer(Micros now, std::string_view type, bool admitted) {
   move(now);
   Class& mine = class_of(type);
   if (admitted) {
--- a/src/core/limit/worth.hpp
+++ b/src/core/limit/worth.hpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "limits.hpp"
 
@@ -23,9 +24,9 @@
   /// Worth by class; classes that are not named have a worth of 1.
   explicit WorthOrder(std::map<std::string, std::int64_t> worth);
   /// Whether a request of the class may ask the limit at all.
-  bool may_ask(Micros now, const std::string& type);
+  bool may_ask(Micros now, std::string_view type);
   /// What the limit said of one that asked.
-  void on_answer(Micros now, const std::string& type, bool admitted);
+  void on_answer(Micros now, std::string_view type, bool admitted);
 
  private:
   struct Class {
@@ -34,10 +35,10 @@
     bool ever = false;                    // turned away
     std::array<double, 2> admitted = {};  // in this step of a second, and the one before
   };
-  Class& class_of(const std::string& type);
+  Class& class_of(std::string_view type);
   void move(Micros now);
 
-  std::map<std::string, Class> classes_;
+  std::map<std::string, Class, std::less<>> classes_;
   Micros step_ = -1;
 };
 
--- a/src/core/route/traffic.cpp
+++ b/src/core/route/traffic.cpp
@@ -15,41 +15,42 @@
 Traffic::Traffic(config::Model model, const Traffic* before)
     : model_(std::move(model)), routing_(model_) {
   // Each user of a limit counts for itself.
-  auto limiter = [&](const std::string& user, const std::string& limit) {
+  auto limiter = [&](User kind, const std::string& user, const std::string& limit) {
     if (limit.empty()) return;
     const config::Limit& set = model_.limits.at(limit);
     std::shared_ptr<Limiter> kept;
     if (before)
-      if (auto it = before->limiters_.find(user); it != before->limiters_.end()) kept = it->second;
+      if (auto it = before->limiters_[kind].find(user); it != before->limiters_[kind].end())
+        kept = it->second;
     if (kept)
       kept->change(settings_of(set));
     else
       kept = std::make_shared<Limiter>(settings_of(set));
-    limiters_[user] = kept;
+    limiters_[kind][user] = kept;
   };
-  auto budgets = [&](const std::string& user, const std::string& budget) {
+  auto budgets = [&](User kind, const std::string& user, const std::string& budget) {
     if (budget.empty()) return;
     const config::Budget& set = model_.budgets.at(budget);
     if (before)
-      if (auto it = before->budgets_.find(user);
-          it != before->budgets_.end() && it->second.set == set) {
-        budgets_[user] = it->second;
+      if (auto it = before->budgets_[kind].find(user);
+          it != before->budgets_[kind].end() && it->second.set == set) {
+        budgets_[kind][user] = it->second;
         return;
       }
-    budgets_[user] = {set, std::make_shared<RetryBudget>(set.retries, set.floor),
-                      std::make_shared<RetryBudget>(set.hedges, 0),
-                      std::make_shared<PoolTrouble>()};
+    budgets_[kind][user] = {set, std::make_shared<RetryBudget>(set.retries, set.floor),
+                            std::make_shared<RetryBudget>(set.hedges, 0),
+                            std::make_shared<PoolTrouble>()};
   };
   // Where all are of one worth there is nothing to order.
   std::map<std::string, std::int64_t> worth;
   bool differ = false;
   for (const auto& [name, c] : model_.classes) worth[name] = c.worth, differ |= c.worth != 1;
   bool same_worth = before && before->model_.classes == model_.classes;
-  for (const auto& [name, t] : model_.tenants) limiter("tenant " + name, t.limit);
-  for (const auto& [name, c] : model_.classes) limiter("class " + name, c.limit);
+  for (const auto& [name, t] : model_.tenants) limiter(kTenant, name, t.limit);
+  for (const auto& [name, c] : model_.classes) limiter(kClass, name, c.limit);
   for (const auto& [name, r] : model_.routes) {
-    limiter("route " + name, r.limit);
-    budgets("route " + name, r.budget);
+    limiter(kRoute, name, r.limit);
+    budgets(kRoute, name, r.budget);
     if (r.fallbacks.empty()) continue;
     if (before) {
       auto it = before->model_.routes.find(name);
@@ -64,14 +65,14 @@
         std::make_shared<Fallback>(Fallback::Settings{r.fall_over_at, r.fall_back_at, r.spill});
   }
   for (const auto& [name, p] : model_.pools) {
-    limiter("pool " + name, p.limit);
+    limiter(kPool, name, p.limit);
     if (differ && !p.limit.empty()) {
       auto kept = same_worth ? before->worth_.find(name) : decltype(worth_)::const_iterator{};
       worth_[name] = same_worth && kept != before->worth_.end()
                          ? kept->second
                          : std::make_shared<WorthOrder>(worth);
     }
-    budgets("pool " + name, p.budget);
+    budgets(kPool, name, p.budget);
     if (p.shares.empty() || p.limit.empty()) continue;
     const config::Limit& set = model_.limits.at(p.limit);
     if (set.in_flight == 0) continue;
@@ -95,23 +96,19 @@
   return it == map.end() ? nullptr : &it->first;
 }
 
-std::vector<Limiter*> Traffic::limiters_of(const Ticket& ticket) const {
-  std::vector<Limiter*> list;
-  for (const std::string& user : {"tenant " + ticket.tenant, "class " + ticket.type,
-                                  "route " + *ticket.route, "pool " + *ticket.pool})
-    if (auto it = limiters_.find(user); it != limiters_.end()) list.push_back(it->second.get());
-  return list;
-}
-
-FairShares* Traffic::shares_of(const Ticket& ticket) const {
-  auto it = shares_.find(*ticket.pool);
-  return it == shares_.end() ? nullptr : it->second.second.get();
-}
-
-Traffic::Budgets* Traffic::budgets_of(const Ticket& ticket) {
-  auto it = budgets_.find("route " + *ticket.route);
-  if (it == budgets_.end()) it = budgets_.find("pool " + *ticket.pool);
-  return it == budgets_.end() ? nullptr : &it->second;
+/// Looks up once all that the request's life will touch; no allocation but for a long tenant.
+void Traffic::find_holdings(const RouteRequest& request, Ticket& t) {
+  const std::string_view users[] = {request.tenant, request.type, *t.route, *t.pool};
+  for (std::size_t kind = 0; kind < kUsers; ++kind)
+    if (auto it = limiters_[kind].find(users[kind]); it != limiters_[kind].end())
+      t.limiters[t.limits++] = it->second.get();
+  if (auto it = shares_.find(*t.pool); it != shares_.end()) {
+    t.shares = it->second.second.get();
+    t.tenant = request.tenant;
+  }
+  for (User kind : {kPool, kRoute})  // the route's comes before its pool's
+    if (auto it = budgets_[kind].find(users[kind]); it != budgets_[kind].end())
+      t.budgets = &it->second;
 }
 
 Traffic::Decision Traffic::admit(Micros now, const RouteRequest& request, bool keyed,
@@ -120,10 +117,9 @@
   d.ticket.route = routing_.find(request);
   if (!d.ticket.route) return d;
   const config::Route& route = model_.routes.at(*d.ticket.route);
-  d.ticket.tenant = request.tenant;
-  d.ticket.type = request.type;
   d.ticket.pool = name_in(model_.pools, route.pool);
   if (auto it = fallbacks_.find(*d.ticket.route); it != fallbacks_.end()) {
+    d.ticket.fallback = it->second.get();
     // The first fallback that has anybody. A keyed write may be a till's second try of one that has
     // run in the first pool: it goes only where its repeat would be dropped.
     const std::string* to = nullptr;
@@ -136,35 +132,36 @@
       d.ticket.crossed = true;
     }
   }
-  Limiter::Answer answer = admit_by_worth(now, d.ticket, limiters_of(d.ticket));
+  find_holdings(request, d.ticket);
+  Limiter::Answer answer = admit_by_worth(now, request, d.ticket);
   d.admitted = d.ticket.holds = answer.admitted;
   d.come_back = answer.come_back;
   return d;
 }
 
 /// Asks the limits and the shares, unless the request must give way to worthier ones.
-Limiter::Answer Traffic::admit_by_worth(Micros now, const Ticket& ticket,
-                                        const std::vector<Limiter*>& limiters) {
+Limiter::Answer Traffic::admit_by_worth(Micros now, const RouteRequest& request,
+                                        const Ticket& ticket) {
   auto it = worth_.find(*ticket.pool);
   WorthOrder* worth = it == worth_.end() ? nullptr : it->second.get();
-  if (worth && !worth->may_ask(now, ticket.type))
+  if (worth && !worth->may_ask(now, request.type))
     return {false, model_.limits.at(model_.pools.at(*ticket.pool).limit).come_back};
-  Limiter::Answer answer = admit_all(now, limiters);
+  Limiter::Answer answer = admit_all(now, ticket.limiters_held());
   // A limit of its own, of a tenant, class or route, says nothing of the pool.
-  auto pool = limiters_.find("pool " + *ticket.pool);
-  bool by_pool = !answer.admitted && pool != limiters_.end() && answer.by == pool->second.get();
-  FairShares* shares = shares_of(ticket);
-  if (answer.admitted && shares && !shares->admit(now, ticket.tenant)) {
-    for (Limiter* l : limiters) l->undo();
-    answer = {false, shares_.at(*ticket.pool).first.come_back};
+  bool by_pool = false;
+  if (auto pool = limiters_[kPool].find(*ticket.pool); pool != limiters_[kPool].end())
+    by_pool = !answer.admitted && answer.by == pool->second.get();
+  if (answer.admitted && ticket.shares && !ticket.shares->admit(now, ticket.tenant)) {
+    for (Limiter* l : ticket.limiters_held()) l->undo();
+    answer = {false, shares_.find(*ticket.pool)->second.first.come_back};
     by_pool = true;
   }
-  if (worth && (answer.admitted || by_pool)) worth->on_answer(now, ticket.type, answer.admitted);
+  if (worth && (answer.admitted || by_pool)) worth->on_answer(now, request.type, answer.admitted);
   return answer;
 }
 
 void Traffic::on_attempt_end(Micros now, const Ticket& ticket, bool failed) {
-  Budgets* b = budgets_of(ticket);
+  Budgets* b = ticket.budgets;
   if (!b) return;
   b->trouble->on_end(now, failed);
   double factor = b->trouble->factor(now);
@@ -175,21 +172,19 @@
 void Traffic::end(Micros now, Ticket& ticket, bool refused) {
   if (!ticket.holds) return;
   ticket.holds = false;
-  for (Limiter* l : limiters_of(ticket)) l->release();
-  if (FairShares* shares = shares_of(ticket)) shares->release(ticket.tenant);
-  if (auto it = fallbacks_.find(*ticket.route); it != fallbacks_.end() && !ticket.crossed)
-    it->second->on_end(now, refused);
+  for (Limiter* l : ticket.limiters_held()) l->release();
+  if (ticket.shares) ticket.shares->release(ticket.tenant);
+  if (ticket.fallback && !ticket.crossed) ticket.fallback->on_end(now, refused);
 }
 
 void Traffic::on_first(Micros now, const Ticket& ticket) {
-  if (Budgets* b = budgets_of(ticket)) {
-    b->retries->on_first(now);
-    b->hedges->on_first(now);
-  }
+  if (!ticket.budgets) return;
+  ticket.budgets->retries->on_first(now);
+  ticket.budgets->hedges->on_first(now);
 }
 
 bool Traffic::may_retry(Micros now, const Ticket& ticket, bool hedge) {
-  Budgets* b = budgets_of(ticket);
+  const Budgets* b = ticket.budgets;
   return !b || (hedge ? b->hedges : b->retries)->take(now);
 }
 
--- a/src/core/route/traffic.hpp
+++ b/src/core/route/traffic.hpp
@@ -5,10 +5,11 @@
 // changed; requests keep the version that they began with.
 #pragma once
 
+#include <array>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
-#include <vector>
 
 #include "core/config/diff.hpp"
 #include "core/config/model.hpp"
@@ -22,13 +23,25 @@
   /// `before` may be null. The model must have passed its checks.
   Traffic(config::Model model, const Traffic* before);
 
-  /// What an admitted request holds until end().
+  struct Budgets {
+    config::Budget set;
+    std::shared_ptr<RetryBudget> retries, hedges;
+    std::shared_ptr<PoolTrouble> trouble;
+  };
+  /// What an admitted request holds until end(). All that it points to lives as long as the
+  /// Traffic.
   struct Ticket {
-    const std::string* route = nullptr;  ///< lives as long as the Traffic
+    const std::string* route = nullptr;
     const std::string* pool = nullptr;
     bool crossed = false;  ///< it went to a fallback
     bool holds = false;
-    std::string tenant, type;
+    std::string tenant;  ///< where shares are kept by it, else empty
+    std::array<Limiter*, 4> limiters = {};
+    std::size_t limits = 0;  ///< of them in use
+    FairShares* shares = nullptr;
+    Budgets* budgets = nullptr;
+    Fallback* fallback = nullptr;
+    std::span<Limiter* const> limiters_held() const { return {limiters.data(), limits}; }
   };
   struct Decision {
     bool admitted = false;
@@ -57,26 +70,21 @@
   const config::Model& model() const { return model_; }
 
  private:
-  struct Budgets {
-    config::Budget set;
-    std::shared_ptr<RetryBudget> retries, hedges;
-    std::shared_ptr<PoolTrouble> trouble;
-  };
-  std::vector<Limiter*> limiters_of(const Ticket& ticket) const;
-  Limiter::Answer admit_by_worth(Micros now, const Ticket& ticket,
-                                 const std::vector<Limiter*>& limiters);
-  FairShares* shares_of(const Ticket& ticket) const;
-  Budgets* budgets_of(const Ticket& ticket);
+  enum User { kTenant, kClass, kRoute, kPool, kUsers };
+  template <typename T>
+  using ByName = std::map<std::string, T, std::less<>>;
+  void find_holdings(const RouteRequest& request, Ticket& ticket);
+  Limiter::Answer admit_by_worth(Micros now, const RouteRequest& request, const Ticket& ticket);
   template <typename T>
   const std::string* name_in(const std::map<std::string, T>& map, const std::string& name) const;
 
   config::Model model_;
   config::Routing routing_;
-  std::map<std::string, std::shared_ptr<Limiter>> limiters_;  // by "tenant t", "class c", ...
-  std::map<std::string, std::pair<config::Limit, std::shared_ptr<FairShares>>> shares_;  // by pool
-  std::map<std::string, std::shared_ptr<WorthOrder>> worth_;    // by pool with a limit
-  std::map<std::string, Budgets> budgets_;                      // by "route r" or "pool p"
-  std::map<std::string, std::shared_ptr<Fallback>> fallbacks_;  // by route
+  std::array<ByName<std::shared_ptr<Limiter>>, kUsers> limiters_;
+  ByName<std::pair<config::Limit, std::shared_ptr<FairShares>>> shares_;  // by pool
+  ByName<std::shared_ptr<WorthOrder>> worth_;                             // by pool with a limit
+  std::array<ByName<Budgets>, kUsers> budgets_;                           // of routes and pools
+  ByName<std::shared_ptr<Fallback>> fallbacks_;                           // by route
 };
 
 /// Whether a server of the discovery list is one of a pool's selection.
--- a/src/kit/common/history.hpp
+++ b/src/kit/common/history.hpp
@@ -33,6 +33,7 @@
   /// and nobody left. Whoever sent the attempt can know of its end from here on.
   Micros ended = 0;
   Answered answered = Answered::kNothing;
+  bool missed = false;      ///< a read of a key that the price cache did not hold
   bool repeat = false;      ///< a keyed write that was dropped as a repeat
   bool left = false;        ///< the router ended the attempt's connection first
   std::uint64_t value = 0;  ///< hash of the value or receipt that was given
--- a/src/kit/main.cpp
+++ b/src/kit/main.cpp
@@ -8,6 +8,7 @@
 
 #include "kit/config/command.hpp"
 #include "kit/flight/command.hpp"
+#include "kit/losses/command.hpp"
 #include "kit/rehearse/command.hpp"
 
 int main(int argc, char** argv) {
@@ -19,6 +20,7 @@
   violetusher::rehearse::add_standin(app, code);
   violetusher::kit::add_config(app, code);
   violetusher::kit::add_flight(app, code);
+  violetusher::kit::add_losses(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- a/src/kit/rehearse/report.cpp
+++ b/src/kit/rehearse/report.cpp
@@ -7,6 +7,7 @@
 
 #include "kit/common/svg.hpp"
 #include "kit/common/units.hpp"
+#include "losses.hpp"
 
 namespace violetusher::rehearse {
 namespace {
@@ -241,6 +242,12 @@
                       {"tries", v.tries},
                       {"attempts", v.attempts}};
   json["service"] = v.service;
+  Losses losses = losses_of(r.day, r.plan, r.played.history);
+  json["losses"] = {{"asked", losses.asked}, {"earned", losses.earned}, {"causes", Json::array()}};
+  for (std::size_t k = 0; k < kCauses; ++k)
+    json["losses"]["causes"].push_back({{"cause", name_of(static_cast<Cause>(k))},
+                                        {"worth", losses.parts[k].worth},
+                                        {"requests", losses.parts[k].requests}});
   json["answer_us"] = {{"p50", v.p50}, {"p99", v.p99}};
   json["added_us"] = {{"p50", v.routed_p50}, {"p99", v.routed_p99}};
   json["direct_us"] = {{"p50", v.direct_p50}, {"p99", v.direct_p99}};
--- a/src/kit/standin/price_cache.cpp
+++ b/src/kit/standin/price_cache.cpp
@@ -258,6 +258,7 @@
     exchange.hit = store_.find(key, size_of(key));
     hit_share_ += 0.02 * ((exchange.hit ? 1 : 0) - hit_share_);
     if (exchange.hit) return finish(exchange, Answered::kServed, served_text(exchange));
+    record.missed = true;
     exchange.other_fetch = fetching_[key]++ > 0;
   }
   // On to the product master, outside of the cores.
