Keep keys near at once where one request of each of many routers pays for the copy

A router gets 15 requests a second there and sees a key less than once in the ten seconds over which it counts, so popular() (src/policy/rules.cpp), which waited for a second request, came out by chance: of the routers of a zone some went to the key's home far off and others to one next door. Ruled out: the pull to the own zone itself (kMaxNearPull lets 17% cross), and second attempts (8% of all). Change: where one request of each router would pay for the copy, half as much again, no second one is waited for. The number of routers decides; six routers do as before. It may hurt where an origin bears no copies at all.

--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -37,6 +37,8 @@
 // worth.
 // Worth lost by one more copy, in requests: its miss, and what it adds to a jammed origin.
 constexpr double kMissCost = 2.0;
+// One request tells less of a key than two do.
+constexpr double kOnce = 1.5;
 constexpr double kMaxNearPull = 0.9;  // the part of foreign segments a popular key passes over
 constexpr std::size_t kMaxTracked =
     4096;  // keys counted per generation; bounds memory under a scan
@@ -435,10 +437,13 @@
       it->second.held = answered && !o.request.write;
   }
 
-  /// Whether a copy of the key in the own zone would pay.
+  /// Whether a copy of the key in the own zone would pay. Where it would by one request of each
+  /// router, no second one is waited for: of a hundred routers each sees a key so seldom that some
+  /// held it for popular and others did not, so it had a home far off and one in each zone, and
+  /// most requests crossed all the same.
   bool popular(int seen) const {
     double peers = std::max(1.0, set.routers / std::max<double>(1, set.zones.size()));
-    return seen >= 2 && set.cross_zone_charge * seen * peers > kMissCost;
+    return set.cross_zone_charge * seen * peers > (seen >= 2 ? 1 : kOnce) * kMissCost;
   }
 
   bool at_limit(const ServerState& s) const {
