Judge a seldom met server by one stall and for longer; pull to the zone counts those out

Lines at fault, all in src/policy/rules.cpp: patience() is 160 to 420 ms there and clients give a try up after 180 to 250, so the deadline timer took none for a stall; doubt halves in 8 s, so a second stall came too late; a spell of 1 s was over before the next request. Besides, near_pull fell with the square of what was out in the own zone even where as much was out elsewhere. Change: at the end of a try what was out longer than nearly all take is a stall; it weighs up to 2.6, and the spell lasts two times of meeting, as requests to one server lie apart (a router of a small fleet does as before); what is usual is then told by all attempts, as the better half of servers hardly met always looks well; the pull counts servers out against the whole list's. Ruled out, with figures in docs/design/wide-fleets.md: slow servers by evidence, own failure rates by evidence, earlier copies, free retries of failed connections, a dark zone learnt at once. Tests: hanging servers are found out though clients leave early; the own zone holds while a quarter of each is out; a router of few servers is not so quick.

--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -53,6 +53,7 @@
 constexpr Micros kDeadMax = 8 * kSecond;  // doubled up to this
 constexpr Micros kReturnRamp = 3 * kSecond;
 constexpr double kReturnFrom = 0.2;
+constexpr double kSureOf = 1.3;  // of kDeadAt, the most that one failure weighs
 constexpr double kDoubtAll =
     0.7;  // more of the reachable servers judged dead than this: disbelieve
 constexpr double kSlowAlpha = 0.25;  // weight of one latency in a server's mean log ratio
@@ -183,11 +184,11 @@
   // ---- state ----
   struct ServerState {
     Server listed;
-    bool present = false;  // on the current list and ready or draining
-    int in_flight = 0;     // own attempts out
-    int named = 0;         // attempts of open requests that name it, out or not
-    std::array<double, 3> failing = {0, 0, 0};  // per attempt, lately: see Failing
-    double doubt = 0;                           // weight of recent failures
+    bool present = false;                // on the current list and ready or draining
+    int in_flight = 0;                   // own attempts out
+    int named = 0;                       // attempts of open requests that name it, out or not
+    std::array<double, 3> failing = {};  // per attempt, lately: see Failing
+    double doubt = 0;                    // weight of recent failures
     Micros doubt_at = 0;
     int strikes = 0;  // times judged dead without a success between
     Micros dead_until = 0;
@@ -263,7 +264,8 @@
   int total_in_flight = 0;
   // Failures per attempt over the whole fleet, lately.
   double errors = 0, late = 0, unreachable = 0, full = 0, broken = 0;
-  std::array<double, 3> usual_failing = {0, 0, 0};  // see renew_usual()
+  std::array<double, 3> usual_failing = {};  // see renew_usual()
+  std::array<double, 3> pooled = {};         // failures per attempt at any server
   double retry_tokens = kRetryCap / 2, copy_tokens = kCopyCap / 2;
   struct Door {
     double shed = 0;
@@ -378,8 +380,10 @@
       double fair = sent_rate() / warm_sum;
       borne += (borne <= 0 ? 1 : kBorneGain) * (fair - borne);
     }
-    // Servers of the own zone that shed load loosen the pull to it.
+    // Servers of the own zone that shed load loosen the pull to it; those out of service only as
+    // far as fewer are elsewhere: where a few of each zone are out, crossing moves the load about.
     double rest = near_weight > 0 ? near_live / near_weight : 0;
+    if (ready > dead) rest = std::min(1.0, rest * ready / (ready - dead));
     near_pull = kMaxNearPull * rest * rest;
   }
 
@@ -544,6 +548,7 @@
     for (Failing kind : {kErrors, kResets, kStalls}) {
       sick |= stands_out(s, kind);
       follow(s.failing[kind], false, kOwnGain);
+      follow(pooled[kind], false);
     }
     if (s.returned_at > 0 && now - s.returned_at > kReturnRamp) s.returned_at = 0, s.strikes = 0;
     // One that answers some requests and lets the others hang would never be left out otherwise.
@@ -559,7 +564,10 @@
     s.doubt += weight;
     s.doubt_at = now;
     if (s.doubt < kDeadAt || now < s.dead_until) return;
-    Micros span = std::min(kDeadMax, kDeadFirst << std::min(s.strikes, 5));
+    // In times of meeting, or the spell would be over before the next request came.
+    auto met = static_cast<Micros>(std::min(meeting(), 8.0 * kSecond));
+    Micros span = std::min(std::max(kDeadMax, 4 * met), std::max(kDeadFirst, 2 * met)
+                                                            << std::min(s.strikes, 5));
     s.dead_until = now + static_cast<Micros>(static_cast<double>(span) * (0.75 + 0.5 * random()));
     s.returned_at = s.dead_until;  // gradual from there
     s.strikes = std::min(s.strikes + 1, 8);
@@ -574,8 +582,21 @@
   /// of the others.
   void note_broken(ServerState& s, Failing kind, double weight) {
     follow(s.failing[kind], true, kOwnGain);
-    note_failure(s, weight, usual_failing[kind]);
-  }
+    follow(pooled[kind], true);
+    // Of servers that are met seldom most have not failed yet, whatever the fleet's state is: there
+    // the better half always looks well.
+    bool seldom = meeting() > kSecond;
+    note_failure(s, weight, std::max(usual_failing[kind], seldom ? pooled[kind] / 2 : 0));
+  }
+
+  /// What one stall weighs where own requests come to a server so far apart that the second one, to
+  /// be surer of what the first told, comes too late: a hundred routers never found out servers
+  /// that hang. To be wrong leaves one server of many aside at one router; it may hurt where much
+  /// stalls by chance. Not so for failed connections: learnt at once by all, the loss of a zone
+  /// threw its whole load on the rest.
+  double weight_of_first() const { return std::clamp(meeting() / kSecond, 1.0, kDeadAt * kSureOf); }
+  /// Time between two own requests to one server.
+  double meeting() const { return kSecond * live_sum / std::max(0.1, sent_rate()); }
 
   /// The server fails in this way far more often than the better half.
   bool stands_out(const ServerState& s, Failing kind) const {
@@ -802,6 +823,14 @@
         std::max(kPatienceFactor * usual, 4.0 * static_cast<double>(set.tick)));
   }
 
+  /// Whether an attempt that is out when the client's time ends is a stall: out for longer than
+  /// nearly all take. Clients give a try up before patience() ends where misses take long; servers
+  /// that hung were never found out, and their requests shut the doors instead.
+  bool stalled(const Open& o, const Attempt& a) const {
+    double usual = std::max(o.cls->quantile, 4.0 * static_cast<double>(set.tick));
+    return now - a.sent > std::min<double>(static_cast<double>(patience(o)), usual);
+  }
+
   /// Aside mode: writes, and reads that a cache answered with a miss, go to the origin.
   bool wants_origin(const Open& o) const {
     return set.aside && !set.origin_kind.empty() && (o.request.write || o.missed);
@@ -1193,9 +1222,9 @@
     // retries. They ended unserved on idle servers, shut the doors, and brought on more retries.
     bool fault = o.deadline - o.came < o.cls->rules.aim;
     for (const Impl::Attempt& a : o.attempts) {
-      if (a.ran != Impl::Ran::Out || m.now - a.sent <= m.patience(o)) continue;
+      if (a.ran != Impl::Ran::Out || !m.stalled(o, a)) continue;
       fault |= m.stands_out(m.servers[a.server], Impl::kStalls);
-      m.note_stall(m.servers[a.server], 1);
+      m.note_stall(m.servers[a.server], m.weight_of_first());
     }
     m.finish(o, fault);
   } else if (kind == kCopyTimer && !o.attempts.empty() && o.attempts.back().ran == Impl::Ran::Out &&
--- a/tests/policy/fleet_test.cpp
+++ b/tests/policy/fleet_test.cpp
@@ -79,5 +79,116 @@
   EXPECT_LT(cheap.homes, 1.5);
 }
 
+/// Plays `seconds` of 15 requests a second at each router. `fate` ends each attempt, `told` hears
+/// of it; what gets no end is given up by the client 180 ms later.
+template <typename Fate>
+struct Play {
+  Tier& tier;
+  Fate fate;
+  int refused = 0, served = 0, attempts = 0;
+  std::map<std::string, int> met = {};  // attempts by server
+  int ended_ok = 0;
+
+  void go(Micros from, double seconds) {
+    std::mt19937 draw(11);
+    Micros step = kS / 15;
+    RequestId id = static_cast<RequestId>(from) * 1000;
+    auto turns = static_cast<int>(seconds * 15);
+    for (int turn = 0; turn < turns; ++turn)
+      for (std::size_t r = 0; r < tier.all.size(); ++r)
+        one(tier.all[r], from + turn * step, ++id, "price-" + std::to_string(draw() % 3000));
+  }
+
+  void one(Balancer& b, Micros now, RequestId id, const std::string& key) {
+    Actions actions = b.on_request(now, read_of(id, key, 180 * kMs));
+    for (int attempt = 0;; ++attempt) {
+      std::string server = sent_to(actions);
+      if (server.empty()) {
+        ++refused;
+        return;
+      }
+      ++attempts, ++met[server];
+      std::optional<Status> end = fate(server);
+      if (!end) {  // it hangs: the timer for the last moment comes first
+        std::uint64_t last = 0;
+        Micros longest = 0;
+        for (const Timer& t : test::all<Timer>(actions))
+          if (t.after >= longest) longest = t.after, last = t.token;
+        b.on_timer(now + longest, last);
+        b.on_outcome(now + longest, ended(id, server, Status::Cancelled, attempt));
+        ++refused;
+        return;
+      }
+      // One in five is a miss, which takes its time.
+      Micros latency = ++ended_ok % 5 == 0 ? 120 * kMs : 30 * kMs;
+      actions = b.on_outcome(now, ended(id, server, *end, attempt, latency));
+      if (*end == Status::Ok) {
+        ++served;
+        return;
+      }
+    }
+  }
+};
+
+template <typename Fate>
+Play<Fate> play(Tier& tier, Fate fate) {
+  return Play<Fate>{tier, fate};
+}
+
+TEST(ManyRouters, FindOutServersThatHangThoughClientsLeaveEarly) {
+  Tier tier(30, 60, 0.12);
+  auto calm = play(tier, [](const std::string&) { return Status::Ok; });
+  calm.go(0, 6);
+  // One in ten of each zone.
+  auto hangs = [](const std::string& server) {
+    return server == "10.0.0.3:80" || server == "10.0.0.4:80" || server == "10.0.0.5:80" ||
+           server == "10.0.0.33:80" || server == "10.0.0.34:80" || server == "10.0.0.35:80";
+  };
+  auto sick = play(tier, [&](const std::string& server) {
+    return hangs(server) ? std::optional<Status>() : Status::Ok;
+  });
+  sick.go(6 * kS, 4);
+  int first = sick.refused;
+  sick.go(10 * kS, 8);
+  // Each router pays about once for each, not time and again.
+  EXPECT_LT(first, 30 * 6 * 5 / 4);
+  EXPECT_LT(sick.refused - first, first);
+}
+
+TEST(ManyRouters, StayInTheirZoneWhileAFewServersOfEachAreOut) {
+  Tier tier(99, 60, 0.12);
+  auto calm = play(tier, [](const std::string&) { return Status::Ok; });
+  calm.go(0, 4);
+  auto dead = [](const std::string& server) { return std::stoi(server.substr(7)) < 15; };
+  auto some = play(tier, [&](const std::string& server) {
+    return dead(server) ? std::optional<Status>() : Status::Ok;
+  });
+  some.go(4 * kS, 8);
+  // A quarter of the servers of each zone is out, so no zone is better off than another.
+  int near = 0, sent = 0;
+  RequestId id = 1;
+  for (std::size_t r = 0; r < tier.all.size(); ++r)
+    for (int k = 0; k < 60; ++k) {
+      std::string server = serve(tier.all[r], 12 * kS, ++id, "milk-" + std::to_string(k));
+      near += tier.zone_of[server] == tier.zones[r];
+      ++sent;
+    }
+  EXPECT_GT(near, sent * 6 / 10);
+}
+
+TEST(FewRouters, JudgeAServerByMoreThanOneStall) {
+  Tier tier(1, 6, 0.12);
+  auto calm = play(tier, [](const std::string&) { return Status::Ok; });
+  calm.go(0, 10);
+  std::string met;
+  auto hangs = play(tier, [&](const std::string& server) {
+    met = server;
+    return std::optional<Status>();
+  });
+  hangs.one(tier.all[0], 10 * kS, 7, "salt");
+  EXPECT_EQ(hangs.attempts, 1);
+  EXPECT_GT(tier.all[0].live_fraction(met), 0.5);
+}
+
 }  // namespace
 }  // namespace violetusher::test
