Judge by one stall and widen the pull only where servers are met seldom

Checked: at those rates a first stall weighs one and spells last as before; what reached them were two lines, the shorter time for a stall (stalled()) and the pull that counts servers out elsewhere (refresh()). Under overload of few servers stalls are many, and a zone feels each server that is out. Change: both hold only where one router meets a server less than once a second.

--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -383,7 +383,8 @@
     // Servers of the own zone that shed load loosen the pull to it; those out of service only as
     // far as fewer are elsewhere: where a few of each zone are out, crossing moves the load about.
     double rest = near_weight > 0 ? near_live / near_weight : 0;
-    if (ready > dead) rest = std::min(1.0, rest * ready / (ready - dead));
+    // Where servers are few and met often, those next door feel each one that is out.
+    if (ready > dead && seldom()) rest = std::min(1.0, rest * ready / (ready - dead));
     near_pull = kMaxNearPull * rest * rest;
   }
 
@@ -585,8 +586,7 @@
     follow(pooled[kind], true);
     // Of servers that are met seldom most have not failed yet, whatever the fleet's state is: there
     // the better half always looks well.
-    bool seldom = meeting() > kSecond;
-    note_failure(s, weight, std::max(usual_failing[kind], seldom ? pooled[kind] / 2 : 0));
+    note_failure(s, weight, std::max(usual_failing[kind], seldom() ? pooled[kind] / 2 : 0));
   }
 
   /// What one stall weighs where own requests come to a server so far apart that the second one, to
@@ -597,6 +597,7 @@
   double weight_of_first() const { return std::clamp(meeting() / kSecond, 1.0, kDeadAt * kSureOf); }
   /// Time between two own requests to one server.
   double meeting() const { return kSecond * live_sum / std::max(0.1, sent_rate()); }
+  bool seldom() const { return meeting() > kSecond; }
 
   /// The server fails in this way far more often than the better half.
   bool stands_out(const ServerState& s, Failing kind) const {
@@ -825,10 +826,12 @@
 
   /// Whether an attempt that is out when the client's time ends is a stall: out for longer than
   /// nearly all take. Clients give a try up before patience() ends where misses take long; servers
-  /// that hung were never found out, and their requests shut the doors instead.
+  /// that hung were never found out, and their requests shut the doors instead. Not where servers
+  /// are met often: there an overload looks like many stalls, and more evidence comes soon.
   bool stalled(const Open& o, const Attempt& a) const {
+    auto wait = static_cast<double>(patience(o));
     double usual = std::max(o.cls->quantile, 4.0 * static_cast<double>(set.tick));
-    return now - a.sent > std::min<double>(static_cast<double>(patience(o)), usual);
+    return static_cast<double>(now - a.sent) > (seldom() ? std::min(wait, usual) : wait);
   }
 
   /// Aside mode: writes, and reads that a cache answered with a miss, go to the origin.
