Count what never came to a server at the doors by how often servers are met

Ruled out: connections (1,308 to 1,352 opened against 1,277 to 1,344 before).

At fault, as far as it goes: finish() dropped ends that never came to a server, also where servers are met often. Change: they count as late answers do, by 1 s / meeting(): whole with few busy routers, a ninth at full fleet.

--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -448,9 +448,11 @@
   /// to be held again while servers stood idle.
   void note_end(const Open& o, bool answered, bool in_time) {
     Door& d = doors[o.held];
-    // One in ten comes late on a good day. A router that meets servers seldom sees few ends at each
-    // door, and by their chance alone it refused some of what comes all day.
-    double bad = in_time ? 0 : answered ? std::min(1.0, kSecond / meeting()) : 1;
+    // One in ten comes late on a good day, and by the chance of the few ends at its doors a router
+    // that meets servers seldom refused some of what comes all day. Nor does one that never came to
+    // a server tell it of load: a zone that was cut off shut its doors to all others.
+    bool load = !answered && (o.reached || any_out(o));
+    double bad = in_time ? 0 : load ? 1 : std::min(1.0, kSecond / meeting());
     d.good += 1 - bad, d.bad += bad;
     auto it = counts[0].find(o.name);
     if (it != counts[0].end() && (answered || may_have_run(o)))
@@ -811,12 +813,11 @@
     out.push_back(Timer{std::max<Micros>(after, 1), id << 2 | kind, kind == kAskTimer ? 0 : id});
   }
 
-  /// With `fault` it ends for a reason that tells nothing of load, so the doors don't count it. Nor
-  /// does one that never came to a server: a zone that was cut off shut the doors to all others.
+  /// With `fault` it ends for a reason that tells nothing of load, so the doors don't count it.
   void finish(Open& o, bool fault = false) {
     if (o.closed) return;
     o.closed = true;
-    if ((o.reached || any_out(o)) && !fault) note_end(o, false, false);
+    if (!o.attempts.empty() && !fault) note_end(o, false, false);
     if (may_refuse(o))
       out.push_back(Refuse{o.request.id, set.retry_after ? set.max_retry_after / 4 : 0});
     else
