Tests of kept connections: the bound on what is saved, and a give-back that nothing else can do

Need: read again, two mutants of the change would have lived. One that saves idle time without bound passed all tests: the property's slack hid it. The test over sockets with 300 routers waited up to 30 s, and the longest idle time of 9 s ends the connection within them also without ServerSide::give_back.

Change, tests and documents alone: a test of what one connection lasts after an hour of quiet; price caches of the sockets' test keep idle connections for an hour.

--- a/tests/core/connections/keep_test.cpp
+++ b/tests/core/connections/keep_test.cpp
@@ -151,6 +151,20 @@
   EXPECT_GE(lasts(200 * kSecond), later);
 }
 
+/// However long it was quiet before: what a night has saved would fill the tables in the morning.
+TEST(KeepAccount, SavesNoMoreThanOneSpellBrings) {
+  for (int routers : {100, 300}) {
+    TablePart part = part_of_table(routers, kKeepalive);
+    KeepAccount keep;
+    keep.advance(0, part, 0);
+    Micros now = 3600 * kSecond;
+    keep.advance(now, part, 0);
+    while (keep.to_close(part, 1, 1) == 0) keep.advance(now += kStep, part, 1);
+    double lasts = part.idle * static_cast<double>(part.longest_idle) / (1 - part.idle);
+    EXPECT_NEAR(static_cast<double>(now - 3600 * kSecond), lasts, kStep) << routers;
+  }
+}
+
 TEST(KeepAccount, KeepsOneForGoodWhereItsPartIsAWholeOne) {
   TablePart part = part_of_table(10, kKeepalive);
   KeepAccount keep;
--- a/tests/net/server_side_test.cpp
+++ b/tests/net/server_side_test.cpp
@@ -171,7 +171,8 @@
 TEST(Connections, AreGivenBackWhereARoutersPartOfTheTableIsSmall) {
   for (int routers : {2, 300}) {
     LineServer cache(good_cache);
-    Driven driven(cache, core::part_of_table(routers, 15 * kSecond));
+    // Price caches that keep idle connections for an hour: nothing but the part ends one here.
+    Driven driven(cache, core::part_of_table(routers, 3600 * kSecond));
     for (RequestId id : {1, 2}) {
       driven.send(id);
       ASSERT_TRUE(driven.eventually([&] { return driven.ended.count(id) == 1; }));
