--- a/src/daemon/ledger/keeper.cpp
+++ b/src/daemon/ledger/keeper.cpp
@@ -149,8 +149,12 @@
 }
 
 void Keeper::tick() {
-  if (stage_ == Stage::kAsking && outside_.now() - started_ > pace_.trust_after) vouch();
+  bool trusted = outside_.now() - started_ > pace_.trust_after;
+  if (stage_ == Stage::kAsking && trusted) vouch();
   if (stage_ != Stage::kRunning) return;
+  // The floor may have been set by entries that were never agreed on, of one that is gone with its
+  // disk since: then nobody could ever come up to it.
+  if (trusted) port_->release_floor();
   port_->tick();
   settle();
   if (leads()) heard_leader_ = outside_.now();
--- a/src/daemon/ledger/raft_port.cpp
+++ b/src/daemon/ledger/raft_port.cpp
@@ -473,13 +473,44 @@
     const auto& v = message.request_vote;
     if (Mark{0, v.last_log_term, v.last_log_index}.log_before(floor_)) return;
   }
-  if (message.type == RAFT_IO_APPEND_ENTRIES && pump()) {
+  pump();
+  if (stale(message)) return;
+  if (message.type == RAFT_IO_APPEND_ENTRIES && !failed_) {
     std::uint64_t at = conflict(message);
     if (at != 0 && at <= outside_.members_index()) return drop_members(at, message);
   }
   receive_(&io_, &message);
 }
 
+/// Whether a message tells only of what a snapshot here has replaced. libraft 0.15 takes such
+/// entries for new ones and puts them behind its log, and installs such a snapshot over a newer
+/// one. What an append has beyond that is kept, from an entry on that is known here.
+bool RaftPort::stale(raft_message& message) {
+  std::uint64_t covered = image_.snapshot ? image_.snapshot->index : 0;
+  if (message.type == RAFT_IO_INSTALL_SNAPSHOT) {
+    auto& s = message.install_snapshot;
+    if (s.last_index > covered) return false;
+    raft_configuration_close(&s.conf);
+    raft_free(s.data.base);
+    return true;
+  }
+  if (message.type != RAFT_IO_APPEND_ENTRIES || covered == 0) return false;
+  auto& a = message.append_entries;
+  std::uint64_t first = image_.log.empty() ? covered : image_.log.front().index;
+  if (a.n_entries == 0 || a.prev_log_index >= first) return false;
+  std::uint64_t known = first - a.prev_log_index;
+  if (known >= a.n_entries) {
+    raft_free(a.entries[0].batch);
+    raft_free(a.entries);
+    return true;
+  }
+  a.prev_log_term = a.entries[known - 1].term;
+  a.prev_log_index = first;
+  std::memmove(a.entries, a.entries + known, (a.n_entries - known) * sizeof(raft_entry));
+  a.n_entries -= static_cast<unsigned>(known);
+  return false;
+}
+
 /// The first entry on the disk that the message's would replace; 0 where there is none.
 std::uint64_t RaftPort::conflict(const raft_message& message) const {
   const auto& a = message.append_entries;
--- a/src/daemon/ledger/raft_port.hpp
+++ b/src/daemon/ledger/raft_port.hpp
@@ -59,6 +59,8 @@
   bool pump();
   /// Nothing is wrong with the disk, but raft is to be opened anew from it; see receive().
   bool again() const { return again_; }
+  /// Votes are given by this log alone from now on.
+  void release_floor() { floor_ = {}; }
   /// What is on the disk.
   const Mark& mark() const { return mark_; }
   std::size_t sent() const { return sent_; }
@@ -82,6 +84,7 @@
   void cancel_all();
 
   Storage& storage_;
+  bool stale(raft_message& message);
   std::uint64_t conflict(const raft_message& message) const;
   void drop_members(std::uint64_t from, const raft_message& message);
   Image image_;  // its log without the entries' bytes, as it is on the disk
--- a/tests/kit/chaos/world_test.cpp
+++ b/tests/kit/chaos/world_test.cpp
@@ -60,9 +60,11 @@
 
 // Found by seed 566: libraft 0.15 crashes where the disk takes no term. By seed 488: a keeper that
 // dropped a lost leader's members took its own disk for an old one; by seed 201: one that was told
-// to go had its identity added again by the next leader.
+// to go had its identity added again by the next leader. By seed 742: a keeper waited for ever for
+// entries that nobody but a lost leader had. By seed 2908: an append that was long under way put
+// entries of a snapshot behind the log.
 TEST(World, LostLeadersAndFullDisksEndWell) {
-  for (int seed : {201, 488, 566}) {
+  for (int seed : {201, 488, 566, 742, 2908}) {
     Result r = simulate(draw(static_cast<std::uint64_t>(seed)));
     EXPECT_TRUE(r.findings.empty()) << seed << "\n" << all(r);
   }
