--- a/src/daemon/ledger/node.cpp
+++ b/src/daemon/ledger/node.cpp
@@ -200,7 +200,7 @@
            (f.kind == "raft" && f.to == meta_.identity);
   }
   if (f.group != meta_.group) return false;
-  if (f.epoch < meta_.epoch && !mutant(Mutant::kOldGroupHeard)) {
+  if (f.epoch < meta_.epoch) {
     // It does not know yet that the group was rescued.
     if (f.kind != "hint") answer(f, "hint", {{"leader", leader()}});
     return false;
@@ -214,17 +214,14 @@
       keep_meta();
   }
   Known& known = known_[f.identity];
-  if (known_.size() > kMostKnown) {
-    auto oldest = std::min_element(known_.begin(), known_.end(), [](const auto& a, const auto& b) {
-      return a.second.heard < b.second.heard;
-    });
-    known_.erase(oldest);
-    return true;
-  }
   if (f.boot < known.boot) return false;  // said before its last start
   known.boot = f.boot;
   known.heard = outside_.now();
   known.mark.raise(f.mark);
+  if (known_.size() > kMostKnown)
+    known_.erase(std::min_element(known_.begin(), known_.end(), [](const auto& a, const auto& b) {
+      return a.second.heard < b.second.heard;
+    }));
   return true;
 }
 
--- a/src/daemon/ledger/raft_port.cpp
+++ b/src/daemon/ledger/raft_port.cpp
@@ -451,7 +451,7 @@
 }
 
 void RaftPort::tick() {
-  if (mutant(Mutant::kAcknowledgeBeforeSync) && !held_.empty() && outside_.random() % 8 == 0) {
+  if (mutant(Mutant::kAcknowledgeBeforeSync) && !held_.empty() && outside_.random() % 64 == 0) {
     auto ops = std::move(held_);
     held_.clear();
     write(ops);
--- a/src/kit/chaos/command.cpp
+++ b/src/kit/chaos/command.cpp
@@ -76,6 +76,10 @@
           {"unknown", r.unknown},
           {"faults", r.played},
           {"sights", r.history.sights.size()},
+          {"frames", r.frames},
+          {"busiest_frames", r.busiest},
+          {"spread_p50_us", quantile(spread(r.history, s.routers), 0.5)},
+          {"spread_p99_us", quantile(spread(r.history, s.routers), 0.99)},
           {"call_p50_us", quantile(r.waits, 0.5)},
           {"call_p99_us", quantile(r.waits, 0.99)}};
 }
--- a/src/kit/chaos/schedule.hpp
+++ b/src/kit/chaos/schedule.hpp
@@ -39,6 +39,7 @@
   std::uint64_t seed = 1;
   Micros length = 20'000'000;  ///< faults end before; then comes quiet, and the last look
   int routers = 7, keepers = 3, clients = 4, names = 5;
+  int followers = 4;          ///< that one router feeds
   std::vector<Fault> faults;  ///< by time
 };
 
--- a/src/kit/chaos/world.cpp
+++ b/src/kit/chaos/world.cpp
@@ -146,6 +146,7 @@
     Disk disk;
     std::unique_ptr<Node> node;
     std::uint64_t life = 0;
+    std::size_t sent = 0;             // frames
     std::optional<Fault::Kind> lost;  // its disk's promises, and not made good yet
     int down = 0;                     // reasons for which it is not to run
     bool frozen = false;
@@ -198,7 +199,7 @@
     s.replace_after = 4'000 * kMs;
     s.pace.snapshot_entries = 48;
     s.pace.snapshot_trailing = 16;
-    s.followers = 4;
+    s.followers = static_cast<std::size_t>(schedule_.followers);
     ++m.life;
     m.node = std::make_unique<Node>(m.disk, s, m);
     tick(m, m.life);
@@ -243,6 +244,7 @@
   }
   void carry(int from, int to, std::string frame) {
     ++result_.frames;
+    result_.busiest = std::max(result_.busiest, ++machines_[static_cast<std::size_t>(from)]->sent);
     if (to < 0 || to >= schedule_.routers || cut(from, to)) return;
     Micros wait = 300 + static_cast<Micros>(random_() % 1500);
     bool shuffled = false;
@@ -436,6 +438,35 @@
   std::sort(result.waits.begin(), result.waits.end());
 }
 
+std::vector<Micros> spread(const History& history, int routers) {
+  std::map<std::string, std::vector<const Sight*>> by_router;
+  std::set<std::uint64_t> positions;
+  for (const Sight& s : history.sights) {
+    by_router[s.router].push_back(&s);
+    positions.insert(s.position);
+  }
+  std::vector<Micros> out;
+  if (by_router.size() < static_cast<std::size_t>(routers)) return out;
+  std::map<std::string, std::size_t> at;
+  for (std::uint64_t p : positions) {
+    Micros first = 0, last = 0;
+    bool all = true;
+    for (const auto& [name, sights] : by_router) {
+      std::size_t& i = at[name];
+      while (i < sights.size() && sights[i]->position < p) ++i;
+      if (i == sights.size()) {
+        all = false;
+        break;
+      }
+      first = first == 0 ? sights[i]->at : std::min(first, sights[i]->at);
+      last = std::max(last, sights[i]->at);
+    }
+    if (all) out.push_back(last - first);
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
 Result simulate(const Schedule& schedule) { return World(schedule).run(); }
 
 Schedule shrink(const Schedule& schedule, std::size_t tries) {
