--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -103,6 +103,7 @@
   void hold_together(event_base* base, const violetusher::core::config::Model& model) {
     if (model.ledgers.empty()) return;
 #ifdef VIOLETUSHER_LEDGER
+    std::signal(SIGXFSZ, SIG_IGN);  // a disk that takes no more is told to the ledger alone
     violetusher::ledger::Service::Handler handler;
     handler.on_servers_out = [this](const std::set<std::string>& out) { router_.hold_out(out); };
     handler.note = [this](const std::string& event, const std::string& text) {
--- /dev/null
+++ b/tests/daemon/ledger/service_test.cpp
@@ -0,0 +1,213 @@
+// Real daemons that hold a ledger together: what an operator is told at one holds at all of them,
+// also when machines are lost with their disks.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "../../net/net_support.hpp"
+#include "kit/ledger/client.hpp"
+#include "net/system_io.hpp"
+
+namespace violetusher::ledger {
+namespace {
+
+namespace fs = std::filesystem;
+using core::ledger::Call;
+using core::ledger::Json;
+using core::ledger::Outcome;
+using Clock = std::chrono::steady_clock;
+constexpr int kWithinS = 20;  // a bound on hanging, not an expectation
+
+template <typename F>
+bool eventually(F&& f) {
+  auto until = Clock::now() + std::chrono::seconds(kWithinS);
+  while (Clock::now() < until) {
+    if (f()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return false;
+}
+
+class Daemons : public testing::Test {
+ protected:
+  static constexpr int kRouters = 4;
+  Daemons() {
+    char name[] = "/tmp/violetusher-daemons-XXXXXX";
+    folder_ = ::mkdtemp(name);
+    for (int i = 0; i < 2 * kRouters + 1; ++i) {
+      holders_.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+      int yes = 1;
+      ::setsockopt(holders_.back().get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+      sockaddr_in any = *net::parse_address("127.0.0.1:0", true);
+      socklen_t size = sizeof any;
+      EXPECT_EQ(::bind(holders_.back().get(), reinterpret_cast<sockaddr*>(&any), size), 0);
+      ::getsockname(holders_.back().get(), reinterpret_cast<sockaddr*>(&any), &size);
+      ports_.push_back("127.0.0.1:" + std::to_string(ntohs(any.sin_port)));
+    }
+    for (int r = 0; r < kRouters; ++r) write(r, "fleet");
+  }
+  ~Daemons() override {
+    for (int r = 0; r < kRouters; ++r) kill(r);
+    fs::remove_all(folder_);
+  }
+
+  std::string path(int r, const char* what) const {
+    return folder_ + "/r" + std::to_string(r + 1) + what;
+  }
+  const std::string& ledger(int r) const { return ports_[static_cast<std::size_t>(r)]; }
+  const std::string& calls(int r) const { return ports_[static_cast<std::size_t>(kRouters + r)]; }
+
+  void write(int r, const std::string& fleet) {
+    std::ofstream operated(path(r, ".conf"));
+    operated << "version 1;\nledger " << fleet << " { folder = \"" << path(r, ".ledger")
+             << "\"; keep = on; replace_after = 3s; trust_after = 5s; }\n";
+    for (int p = 0; p < kRouters; ++p)
+      operated << "peer r" << p + 1 << " { address = \"" << ledger(p) << "\"; hall = h" << p % 3
+               << "; }\n";
+    Json config = Json::parse(net::test::config_text({.dials = {"127.0.0.1:9"}}));
+    config["name"] = "r" + std::to_string(r + 1);
+    std::ofstream(path(r, ".json")) << config.dump();
+  }
+  void start(int r) {
+    std::string config = "NODE_CONFIG=" + path(r, ".json"),
+                calls = "NODE_OPERATOR=" + this->calls(r);
+    std::string program = VIOLETUSHER_PROGRAM, option = "--operator", file = path(r, ".conf");
+    char* arguments[] = {program.data(), option.data(), file.data(), nullptr};
+    char* environment[] = {config.data(), calls.data(), nullptr};
+    std::string log = path(r, ".log");
+    pids_[r] = ::fork();
+    if (pids_[r] != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    ::dup2(out, 1);
+    ::dup2(out, 2);
+    ::close_range(3, ~0u, 0);
+    ::execve(arguments[0], arguments, environment);
+    ::_exit(127);
+  }
+  void kill(int r) {
+    if (pids_[r] <= 0) return;
+    ::kill(pids_[r], SIGKILL);
+    ::waitpid(pids_[r], nullptr, 0);
+    pids_[r] = 0;
+  }
+  Json status(int r) {
+    std::string error;
+    auto a = kit::ask_ledger(ledger(r), "fleet", "status", Json::object(), 500, error);
+    return a ? a->body : Json::object();
+  }
+  /// Somebody leads three that vote, each of them a router as it is now, with its disk, and as far
+  /// as the leader.
+  bool whole() {
+    std::map<std::string, Json> now;
+    Json leads;
+    for (int r = 0; r < kRouters; ++r) {
+      Json s = pids_[r] > 0 ? status(r) : Json::object();
+      now[s.value("identity", "")] = s;
+      if (s.value("stage", "") == "leads") leads = s;
+    }
+    if (!leads.is_object() || leads["members"].size() != 3) return false;
+    for (const Json& m : leads["members"]) {
+      const Json& s = now[m.value("identity", "")];
+      if (!m.value("votes", false) || !s.is_object() || s.value("stage", "") == "asks" ||
+          !s.contains("log") || s["log"]["last"] < leads["log"]["last"])
+        return false;
+    }
+    return true;
+  }
+  void found() {
+    for (int r = 0; r < kRouters; ++r) start(r);
+    std::string error;
+    ASSERT_TRUE(eventually([&] {
+      return kit::ask_ledger(ledger(0), "fleet", "found", Json::object(), 500, error).has_value();
+    })) << error;
+    ASSERT_TRUE(eventually([&] { return whole(); })) << status(0).dump(1);
+  }
+  /// What an operator's line is answered.
+  std::string say(int r, const std::string& line) {
+    net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    auto to = net::parse_address(calls(r));
+    if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0) return "";
+    std::string out = line + "\r\n", in;
+    if (::send(fd.get(), out.data(), out.size(), MSG_NOSIGNAL) < 0) return "";
+    char bytes[4096];
+    ssize_t got = 0;
+    while ((got = ::recv(fd.get(), bytes, sizeof bytes, 0)) > 0)
+      in.append(bytes, static_cast<std::size_t>(got));
+    return in;
+  }
+  std::string disabled(int r) {
+    std::string dump = say(r, "DUMP");
+    auto json = Json::parse(dump.substr(0, dump.find("\r\n")), nullptr, false);
+    return json.is_object() ? json.value("targets_disabled", Json()).dump() : "none";
+  }
+
+  std::string folder_;
+  std::vector<net::Fd> holders_;
+  std::vector<std::string> ports_;
+  int pids_[kRouters] = {};
+};
+
+TEST_F(Daemons, AServerTakenOutAtOneIsOutAtAllAndStaysSoWhenMachinesAreLost) {
+  found();
+  EXPECT_EQ(say(1, "OFFLINE s-0"), "SUCCESS\r\n");
+  EXPECT_EQ(disabled(1), "1") << "where it was asked it holds from the yes";
+  for (int r = 0; r < kRouters; ++r)
+    EXPECT_TRUE(eventually([&] { return disabled(r) == "1"; })) << r;
+  // Each machine in turn is lost with its disk, a new one comes in its place.
+  for (int lost = 0; lost < kRouters; ++lost) {
+    std::string before = status(lost).value("identity", "");
+    kill(lost);
+    fs::remove_all(path(lost, ".ledger"));
+    start(lost);
+    ASSERT_TRUE(eventually([&] { return disabled(lost) == "1"; })) << lost;
+    EXPECT_NE(status(lost).value("identity", ""), before);
+    ASSERT_TRUE(eventually([&] { return whole(); })) << lost;
+  }
+  EXPECT_EQ(say(3, "ONLINE s-0"), "SUCCESS\r\n");
+  for (int r = 0; r < kRouters; ++r)
+    EXPECT_TRUE(eventually([&] { return disabled(r) == "0"; })) << r;
+}
+
+TEST_F(Daemons, WithoutAMajorityPromisesAreRefusedAndTheLastStateHolds) {
+  found();
+  ASSERT_EQ(say(0, "OFFLINE s-0"), "SUCCESS\r\n");
+  ASSERT_TRUE(eventually([&] { return disabled(3) == "1"; }));
+  for (int r = 0; r < 3; ++r) kill(r);
+  auto asked = Clock::now();
+  std::string told = say(3, "ONLINE s-0");
+  EXPECT_EQ(told.rfind("FAILURE no answer from a majority", 0), 0u) << told;
+  EXPECT_LT(Clock::now() - asked, std::chrono::seconds(5));
+  EXPECT_EQ(disabled(3), "1");
+  kill(3);
+  start(3);  // alone, and with its disk
+  EXPECT_TRUE(eventually([&] { return disabled(3) == "1"; }));
+}
+
+TEST_F(Daemons, AnotherFleetsRouterIsNotHeard) {
+  write(3, "stranger");
+  for (int r = 0; r < kRouters; ++r) start(r);
+  std::string error;
+  ASSERT_TRUE(eventually([&] {
+    return kit::ask_ledger(ledger(0), "fleet", "found", Json::object(), 500, error).has_value();
+  }));
+  ASSERT_TRUE(eventually([&] { return whole(); })) << "of the three others";
+  EXPECT_FALSE(kit::ask_ledger(ledger(3), "fleet", "status", Json::object(), 300, error));
+  auto s = kit::ask_ledger(ledger(3), "stranger", "status", Json::object(), 500, error);
+  ASSERT_TRUE(s);
+  EXPECT_EQ(s->body.value("group", ""), "0");
+}
+
+}  // namespace
+}  // namespace violetusher::ledger
--- /dev/null
+++ b/tests/net/peers_test.cpp
@@ -0,0 +1,113 @@
+// Links between routers, on sockets and one loop.
+#include "net/peers.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include "net/system_io.hpp"
+
+namespace violetusher::net {
+namespace {
+
+class PeersTest : public testing::Test {
+ protected:
+  PeersTest() : base_(event_base_new()), io_(base_.get()) {}
+  std::unique_ptr<Peers> make(const std::string& to, std::vector<std::string>& heard) {
+    auto peers = std::make_unique<Peers>(
+        io_, std::map<std::string, std::string>{{"other", to}},
+        [&heard](const std::string& frame, std::uint64_t) { heard.push_back(frame); },
+        [this] { return ++draws_; });
+    std::string error;
+    EXPECT_TRUE(peers->listen(*parse_address("127.0.0.1:0", true), error)) << error;
+    return peers;
+  }
+  static std::string address(const Peers& peers) {
+    return "127.0.0.1:" + std::to_string(peers.port());
+  }
+  template <typename F>
+  bool run_until(F&& done) {
+    io_.renew();
+    for (Micros end = io_.now() + 10 * kSecond; !done(); io_.renew()) {
+      if (io_.now() > end) return false;
+      io_.run_once();
+    }
+    return true;
+  }
+
+  EventBasePtr base_;
+  SystemIo io_;
+  std::uint64_t draws_ = 0;
+  std::vector<std::string> heard_a_, heard_b_;
+};
+
+TEST_F(PeersTest, FramesComeWholeAndInOrderHoweverLarge) {
+  auto b = make("", heard_b_);
+  auto a = make(address(*b), heard_a_);
+  std::string large(3u << 20, 'x');
+  a->send("other", "one");
+  a->send("other", "");
+  a->send("nobody", "lost");
+  ASSERT_TRUE(run_until([&] { return heard_b_.size() == 2; }));
+  a->send("other", large);
+  a->send("other", "last");
+  ASSERT_TRUE(run_until([&] { return heard_b_.size() == 4; }));
+  EXPECT_EQ(heard_b_, (std::vector<std::string>{"one", "", large, "last"}));
+  EXPECT_TRUE(heard_a_.empty());
+}
+
+TEST_F(PeersTest, WhoComesBackIsReachedAgain) {
+  auto b = make("", heard_b_);
+  auto a = make(address(*b), heard_a_);
+  a->send("other", "one");
+  ASSERT_TRUE(run_until([&] { return heard_b_.size() == 1; }));
+  sockaddr_in where = *parse_address(address(*b));
+  b.reset();
+  // Nobody there: what is sent is lost, and nothing piles up.
+  std::unique_ptr<Alarm> again = io_.alarm([&] {
+    a->send("other", "again");
+    again->set(20 * kMillisecond);
+  });
+  again->set(0);
+  io_.renew();
+  Micros gone = io_.now();
+  ASSERT_TRUE(run_until([&] { return io_.now() > gone + kSecond / 2; }));
+  b = std::make_unique<Peers>(
+      io_, std::map<std::string, std::string>(),
+      [&](const std::string& frame, std::uint64_t) { heard_b_.push_back(frame); },
+      [this] { return ++draws_; });
+  std::string error;
+  ASSERT_TRUE(b->listen(where, error)) << error;
+  EXPECT_TRUE(run_until([&] { return heard_b_.size() > 3; }));
+}
+
+TEST_F(PeersTest, BytesThatAreNoFrameEndTheConnectionAndNothingElse) {
+  auto b = make("", heard_b_);
+  auto a = make(address(*b), heard_a_);
+  sockaddr_in to = *parse_address(address(*b));
+  std::string spoilt = Peers::wrap("spoilt");
+  spoilt.back() = 'T';
+  for (const std::string& bytes : {std::string(64, '\xff'), spoilt}) {
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    ASSERT_EQ(::connect(fd.get(), reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+    ASSERT_EQ(::send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+    ASSERT_TRUE(run_until([&] { return b->callers() > 0; }));
+    ASSERT_TRUE(run_until([&] { return b->callers() == 0; }));
+  }
+  a->send("other", "good");
+  ASSERT_TRUE(run_until([&] { return heard_b_.size() == 1; }));
+  EXPECT_EQ(heard_b_[0], "good");
+}
+
+TEST_F(PeersTest, WhatComesInPiecesIsOneFrame) {
+  std::string bytes = Peers::wrap("first") + Peers::wrap("second"), in, frame;
+  std::vector<std::string> frames;
+  for (char c : bytes) {
+    in.push_back(c);
+    while (Peers::unwrap(in, frame) == 1) frames.push_back(frame);
+  }
+  EXPECT_EQ(frames, (std::vector<std::string>{"first", "second"}));
+}
+
+}  // namespace
+}  // namespace violetusher::net
