Serve by the only price cache however slow it is; leave new connections time at a stop

Bursts of "SERVER_ERROR busy" right after the start of the second router. Ruled out: doors (turn_away was false), stalls (a tick of 100 ms changed nothing), the table. Seen at the refusals by a probe: "live 0.073 slow 0.073 ... servers 1", nothing sent. The only price cache answered some 30 times slower than at first, so it kept 7% of its 32 of 32,768 slots, and a walk of 20,000 draws missed it for one key in four; a key's walk is always the same, so all its requests were refused. At fault: walk() and next_live() in rules.cpp, which took the end of the draws for "there is none". Where the draws run out, the server that ranks first for the key among those that may take the request is taken now. A connection that had been accepted, and whose first command was still to come, was closed without a word by a router that stops. It is left 200 ms from its accept now.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -11,6 +11,9 @@
 // A connection with no request open is closed after this, the least that DAYS allows. Kept longer
 // they pile up, as some clients ask once and never close, and the places that clients have run out.
 constexpr Micros kIdleTime = 2 * kSecond;
+// A router that stops leaves a new connection so long for its first command: the client may have
+// connected just before, and what it sends would meet a closed door. Later it could wait for ever.
+constexpr Micros kFirstWord = kSecond / 5;
 // A client that takes none of its answer for this long is given up.
 constexpr Micros kStallTime = 3 * kSecond;
 // After our FIN the connection is read until the client's, at most this long and this many bytes:
@@ -211,7 +214,7 @@
     out_.erase(0, out_at_);
     out_at_ = 0;
   }
-  if (vacant() && (eof_ || broken_ || over_limit_ || (side_.draining_ && !in_command()))) {
+  if (vacant() && (eof_ || broken_ || over_limit_ || released())) {
     finish();
     account();
     return;
@@ -223,6 +226,12 @@
   update_reading();
 }
 
+/// Whether a router that stops owes nothing more here.
+bool ClientConnection::released() const {
+  if (!side_.draining_ || in_command()) return false;
+  return spoken_ || side_.io_.now() - used_at_ > kFirstWord;
+}
+
 /// Closes after the last answer.
 void ClientConnection::finish() {
   if (lingering_) return;
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -50,6 +50,7 @@
   std::size_t index_ = 0;  // in ClientSide::connections_
 
  private:
+  bool released() const;
   bool full() const;
   void parse(std::string_view& in);
   void parse_held();
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -152,9 +152,13 @@
 void ClientSide::sweep() {
   sweep_alarm_->set(kSweep);
   Micros now = io_.now();
-  for (std::size_t k = connections_.size(); k-- > 0;)  // from the end: closing moves the last one
-    if (k < connections_.size() && connections_[k]->overdue(now))
+  for (std::size_t k = connections_.size(); k-- > 0;) {  // from the end: closing moves the last one
+    if (k >= connections_.size()) continue;
+    if (connections_[k]->overdue(now))
       close(*connections_[k]);  // which may take others along
+    else if (draining_)
+      touch(*connections_[k]);  // its time for a first command may have run out
+  }
   if (accept_paused_ && !draining_) pause_accepting(false);
 }
 
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -20,28 +20,23 @@
 constexpr int kSlots = 1 << kSlotBits;
 constexpr int kSlotsPerUnit = 32;
 constexpr double kMaxCoverage = 0.5;  // beyond, every server's slots are halved until they fit
-// Draws of one walk, and for each server: one live server of 1,024, and small, is found within.
-constexpr int kMaxDraws = 20'000, kDrawsEach = 128;
+constexpr int kMaxDraws = 20'000;     // of one walk
 // Saved seeds. One key may load a server with this multiple of a fair share before it is spread.
 constexpr double kKeyShare = 0.7;
 // Requests of one key, in windows' worth of own traffic, behind each server it is spread over. With
-// one, a chance pair of a rare key made a second copy, and the fetches of all those copies jammed
-// origins.
+// one, a chance pair of a rare key made a second copy, and the fetches of them all jammed origins.
 constexpr double kWindows = 2;
 constexpr double kCopyErrors = 0.02;  // errors over the fleet past which no hot server adds copies
 constexpr int kMaxOverflow = 4;       // landings passed over because the server is at its limit
-constexpr double kInFlightFactor =
-    2.0;  // limit of own attempts out, in multiples of the mean server
-constexpr double kInFlightFloor = 3.0;  // and never under this many
-// Nearness: a key is kept in the own zone once a copy there saves more than it costs, in points of
-// worth.
+constexpr double kInFlightFactor = 2.0;  // own attempts out, at most, over the mean server's
+constexpr double kInFlightFloor = 3.0;   // and never under this many
+// Nearness: a key is kept in the own zone once a copy there saves more worth than it costs.
 // Worth lost by one more copy, in requests: its miss, and what it adds to a jammed origin.
 constexpr double kMissCost = 2.0;
 // One request tells less of a key than two do.
 constexpr double kOnce = 1.5;
-constexpr double kMaxNearPull = 0.9;  // the part of foreign segments a popular key passes over
-constexpr std::size_t kMaxTracked =
-    4096;  // keys counted per generation; bounds memory under a scan
+constexpr double kMaxNearPull = 0.9;       // the part of foreign segments a popular key passes over
+constexpr std::size_t kMaxTracked = 4096;  // keys counted per generation, also under a scan
 constexpr Micros kGeneration = 10 * kSecond;
 // Server health. A failure adds its weight; dead at the threshold, doubt halves every kDoubtHalf.
 constexpr double kDeadAt = 2.0;
@@ -54,9 +49,8 @@
 constexpr int kCutAfter = 3;              // servers of a zone, one after another
 constexpr Micros kReturnRamp = 3 * kSecond;
 constexpr double kReturnFrom = 0.2;
-constexpr double kSureOf = 1.3;  // of kDeadAt, the most that one failure weighs
-constexpr double kDoubtAll =
-    0.7;  // more of the reachable servers judged dead than this: disbelieve
+constexpr double kSureOf = 1.3;      // of kDeadAt, the most that one failure weighs
+constexpr double kDoubtAll = 0.7;    // more of the reachable servers judged dead: disbelieve
 constexpr double kSlowAlpha = 0.25;  // weight of one latency in a server's mean log ratio
 constexpr double kSlowHalf = 8.0 * kSecond;
 constexpr double kSlowFrom = 1.8;    // latency ratio from which a server counts as slow
@@ -74,8 +68,7 @@
 // What a cold server's budget saves up, as part of tip_after: with all of it, a hot key that came
 // after a quiet spell spent twice the budget at once.
 constexpr double kColdBurst = 0.4;
-// And this part of what would push one over had warm servers been at the very edge of their
-// capacity.
+// And this part of what would push one over had warm servers been at the edge of their capacity.
 constexpr double kColdBorne = 0.5;
 constexpr double kBorneGain = 0.02;  // of one refresh in what warm servers bear, about 5 s
 // Attempts. Tokens per request for further attempts and for second copies, and their caps.
@@ -88,11 +81,9 @@
 constexpr double kServerErrs = 0.9;  // doubt from which errors are laid at the server's door
 constexpr double kOwnFault = 0.25;   // failures per attempt from which they may be the server's own
 constexpr double kRelief = 0.5;      // of doubt, by one success of a server that stands out
-constexpr double kUsualBreaks = 0.3;  // broken connections per attempt that are no sign of load
-constexpr double kFutileErrors =
-    0.1;  // errors per attempt at the better half past which none is retried
-// Admission: the shed level moves once per step by the part of answers that came too late or not at
-// all.
+constexpr double kUsualBreaks = 0.3;   // broken connections per attempt that are no sign of load
+constexpr double kFutileErrors = 0.1;  // per attempt at the better half; past it no retries
+// Admission: the shed level moves once per step by the part of answers that came late or never.
 constexpr Micros kShedStep = kSecond / 4;
 constexpr double kShedFade = 0.75;  // of the counts, per step
 // Answers presumed good. A door nearly shut sees few ends: by the one in ten that is late on a good
@@ -289,7 +280,7 @@
   bool disbelieve = false;
   // list
   bool watching = false, asking = false;
-  int ask_failures = 0, most_draws = kMaxDraws;
+  int ask_failures = 0;
   std::uint64_t ask_token = 0;
   std::uint64_t draws = 0;
   std::vector<double> rates;  // of renew_usual(), for its memory alone
@@ -327,7 +318,7 @@
         if (slot < 0) slot = i, --want;
       }
     }
-    refreshed = -1, most_draws = std::max(kMaxDraws, kDrawsEach * static_cast<int>(index.size()));
+    refreshed = -1;
   }
 
   bool usable(const ServerState& s) const { return s.present && s.listed.health == Health::Ready; }
@@ -374,8 +365,7 @@
       if (out_of_service(s)) dead += 1, near_dead += near;
     }
     // A cut between zones looks like many deaths and is believed as long as the own zone answers;
-    // when the servers next door look dead as well, the fault is more likely here or in the
-    // judgement.
+    // when the servers next door look dead as well, the fault is likely here or in the judgement.
     disbelieve = near_ready > 0 ? near_dead > kDoubtAll * near_ready && dead > kDoubtAll * ready
                                 : dead > kDoubtAll * ready;
     double near_live = 0, near_weight = 0, nominal = 0;
@@ -500,8 +490,7 @@
     std::uint64_t seed = 0;
   };
 
-  /// Draws onward from `seed`, `left` times at most, to the next live segment; -1 when there is
-  /// none.
+  /// Draws onward from `seed`, `left` times at most, to the next live segment; -1 without one.
   int next_live(std::uint64_t& seed, int& left) const {
     while (left-- > 0) {
       seed = next_draw(seed);
@@ -516,7 +505,7 @@
     Landing fallback;
     int passed = 0;
     double cost = cost_of(o);
-    for (int left = most_draws, before = left;; before = left) {
+    for (int left = kMaxDraws, before = left;; before = left) {
       int i = next_live(seed, left);
       draws += static_cast<std::uint64_t>(before - std::max(left, 0));
       if (i < 0) return fallback;
@@ -533,6 +522,21 @@
     }
   }
 
+  /// Where the draws have run out: of the servers that may take the request, the one that ranks
+  /// first for the key. Few servers, or slow ones, cover so little of the interval that walks miss
+  /// them: one alone that answered 30 times slower than before had most of its keys refused.
+  Landing last_resort(const Open& o) {
+    Landing best;
+    std::uint64_t most = 0;
+    for (const auto& [id, i] : index) {
+      std::uint64_t rank = mix(o.seed ^ hash_name(id));
+      if (rank < most || live(servers[i]) <= 0 || is_origin(servers[i])) continue;
+      if (!may_send(o, i) || tried(o, i) || !cold_has_room(servers[i], cost_of(o))) continue;
+      best = {i, o.seed}, most = rank;
+    }
+    return best;
+  }
+
   // ---- server health ----
   double slow_part(const ServerState& s) const {
     if (s.slow_seen < 2) return 1;
@@ -674,8 +678,7 @@
         heat = std::max(heat, std::min(2.0, (v - 2 - 2 * queue_mean) / (2 + queue_mean)));
       }
     }
-    // A server that gave up most of its keys is seen rarely: its return goes by the time that
-    // passed.
+    // A server that gave up most of its keys is seen rarely: its return goes by the time passed.
     double dt = static_cast<double>(now - s.report_at) / kSecond;
     s.report_at = now;
     s.load_live *= std::exp(heat > 0 ? -kHotRate * heat * std::min(1.0, dt)
@@ -703,9 +706,7 @@
 
   /// The admitted part shrinks a little while many admitted requests end unserved or late, and
   /// grows back otherwise, also without evidence: a level that waited for answers stayed up when
-  /// few were left, and one that moved in large steps swung between refusing nearly all and jamming
-  /// the servers.
-  ///
+  /// few were left, and one that moved in large steps swung between refusing nearly all and a jam.
   /// Keys that were answered lately have a door of their own: a jammed origin makes the others end
   /// badly and leaves these alone, overloaded servers make both.
   void step_shed() {
@@ -732,8 +733,7 @@
     double shed = doors[o.held].shed;
     double chance = shed;
     // Around the mean worth of what comes, so that all together lose the shed part and no more:
-    // taken from the best class, the bulk of the traffic was refused whole while servers stood
-    // idle.
+    // taken from the best class, the bulk of the traffic was refused whole and servers stood idle.
     double value = c.worth / (set.worth_by_work ? 1 : cost_of(o));
     mean_value += (mean_value <= 0 ? 1 : 0.02) * (value - mean_value);
     if (value > 0) chance *= std::clamp(mean_value / value, kShedLeast, kShedMost);
@@ -883,6 +883,7 @@
     if (set.cross_zone_charge > 0 && near_pull > 0) keep_near = first ? popular(o.seen) : true;
     Landing at = walk(o.seed, o, keep_near);
     if (at.server < 0 && keep_near) at = walk(o.seed, o, false);
+    if (at.server < 0) at = last_resort(o);
     if (at.server < 0) return false;
     o.seed = at.seed;
     if (first)  // admitted ones only: clients repeat what is refused, which is no use of the quota
@@ -1281,7 +1282,7 @@
 
 std::string Balancer::home(const std::string& key) const {
   std::uint64_t seed = hash_name(key);
-  int left = impl_->most_draws;
+  int left = kMaxDraws;
   int i = impl_->next_live(seed, left);
   return i < 0 ? std::string() : impl_->servers[i].listed.id;
 }
--- a/tests/net/client_side_test.cpp
+++ b/tests/net/client_side_test.cpp
@@ -122,5 +122,32 @@
   EXPECT_TRUE(flood.ended());
 }
 
+/// One that connected just before a router stops, and whose command comes just after, is served.
+TEST(Stopping, LeavesANewConnectionTimeForItsFirstCommand) {
+  LineServer cache(good_cache);
+  EventBasePtr base(event_base_new());
+  SystemIo io(base.get());
+  std::string error;
+  Socket listener = io.listen(loopback(0), error);
+  ASSERT_TRUE(listener) << error;
+  RouterOptions options{.dials = {cache.address()}};
+  options.accept_fd = ::dup(listener.number());
+  RunningRouter router(options);
+  auto turns = [&] {  // whatever was ready before has been seen to
+    for (int k = 0; k < 3; ++k) router.post([](Router&) {});
+  };
+  Client known(io.port(listener.number())), fresh(io.port(listener.number()));
+  known.send(read_command("a"));
+  EXPECT_EQ(known.line(), "VA 5 Oa");
+  turns();
+  router.post([](Router& r) { r.stop(); });
+  turns();
+  known.line();
+  EXPECT_EQ(known.read_all(), "");  // it closes at once where it has served
+  EXPECT_TRUE(known.ended());
+  fresh.send(read_command("b"));
+  EXPECT_EQ(fresh.line(), "VA 5 Ob");
+}
+
 }  // namespace
 }  // namespace violetusher::net::test
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -337,6 +337,21 @@
   EXPECT_GT(b.live_fraction(list[2].id), 0.9);
 }
 
+// Protects against: the only server there is, once slow, covering so little that walks missed it
+// and most of its keys were refused.
+TEST(Health, ASlowServerServesAllKeysWhereItIsAlone) {
+  Balancer b(basic_settings(), 7, 0);
+  auto list = fleet(2);
+  list[1].health = Health::Draining;
+  b.on_list(0, ListScope::Full, list);
+  Micros now = 0;
+  for (RequestId id = 0; id < 300; ++id, now += 10 * kMs) {
+    ASSERT_EQ(sent_to(b.on_request(now, read_of(id, "k" + std::to_string(id)))), list[0].id) << id;
+    b.on_outcome(now, ended(id, list[0].id, Status::Ok, 0, id < 30 ? kMs : 80 * kMs));
+    if (id == 60) EXPECT_LT(b.live_fraction(list[0].id), 0.2);
+  }
+}
+
 // Protects against: warm servers that shed load pushing it on to a cold one, which then fell over.
 TEST(Health, ColdServerIsHeldToItsShare) {
   Settings s = basic_settings();
