Do not look into a list that is not there when a pushed watch's answer is bad

Discovery::answered() worked out whether there is news from `list` before it looked whether there is a list. Terms::silent_for(), called by nobody, goes.

--- a/src/core/membership/terms.hpp
+++ b/src/core/membership/terms.hpp
@@ -31,10 +31,6 @@
   Micros pause = 0, pause_most = 0;
   /// Whether this is to go on after failures of itself; else the module says when to watch again.
   bool insists = false;
-
-  /// The longest time from the begin of a watch that falls silent until the call that makes up for
-  /// it goes out.
-  Micros silent_for() const { return renew_to > 0 ? renew_to : wait + limit; }
 };
 
 /// Where lists are asked for: discovery is one service for all routers, and each call costs it
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -138,9 +138,10 @@
                {{"address", std::string_view(address_)}});
   }
   arm();
+  if (take == Take::kNo) return;  // there may be no list
   // Of a watch that insists and is made some times a second, nothing new is nothing to be told.
   bool news = !insists_ || list->whole || !list->hosts.empty() || list->version != held;
-  if (take != Take::kNo && news) handler_.on_hosts(std::move(*list), take == Take::kDoubted);
+  if (news) handler_.on_hosts(std::move(*list), take == Take::kDoubted);
 }
 
 }  // namespace violetusher::net
