--- /dev/null
+++ b/src/core/audit/account.cpp
@@ -0,0 +1,95 @@
+#include "account.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace violetusher::core::audit {
+namespace {
+
+using Json = nlohmann::json;
+
+/// Names come from settings and lists, which may hold any bytes.
+std::string text(const Json& body) {
+  return body.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace
+
+Account::Account(std::function<Versions()> versions, Out out)
+    : versions_(std::move(versions)), out_(std::move(out)) {}
+
+void Account::serves(const std::string& server, bool yes) {
+  if (yes ? !serving_.insert(server).second : serving_.erase(server) == 0) return;
+  // There and back between two views is no change.
+  auto& now = yes ? in_ : left_;
+  auto& before = yes ? left_ : in_;
+  if (before.erase(server) == 0) now.insert(server);
+}
+
+void Account::changed(Micros now) {
+  Versions versions = versions_();
+  if (!all_ && versions == held_ && in_.empty() && left_.empty()) return;
+  end_period(now);
+  held_ = std::move(versions);
+  Json body = {{"k", "view"}, {"at", now}, {"view", ++view_}, {"versions", held_}};
+  if (all_) {
+    body["all"] = true;
+    body["in"] = serving_;
+  } else {
+    body["in"] = in_;
+    body["out"] = left_;
+  }
+  all_ = false;
+  in_.clear(), left_.clear();
+  out_(text(body));
+}
+
+void Account::tick(Micros now) {
+  if (all_) {
+    changed(now);
+  } else if (done_) {
+    end_period(now);
+  }
+}
+
+void Account::end_period(Micros now) {
+  if (done_) {
+    Json sent = Json::object(), refused = Json::object();
+    for (const auto& [server, counts] : sent_)
+      for (std::size_t k = 0; k < counts.size(); ++k)
+        if (counts[k]) sent[server][types_[k]] = counts[k];
+    for (std::size_t k = 0; k < refused_.size(); ++k)
+      if (refused_[k]) refused[types_[k]] = refused_[k];
+    out_(text({{"k", "did"},
+               {"view", view_},
+               {"from", from_},
+               {"to", now},
+               {"sent", std::move(sent)},
+               {"refused", std::move(refused)}}));
+  }
+  sent_.clear(), refused_.clear();
+  done_ = false;
+  from_ = now;
+}
+
+std::uint32_t Account::type_of(std::string_view name) {
+  auto at = std::find(types_.begin(), types_.end(), name);
+  if (at == types_.end() && types_.size() < kMostTypes) at = types_.emplace(at, name);
+  return static_cast<std::uint32_t>(std::min<std::ptrdiff_t>(at - types_.begin(), kMostTypes - 1));
+}
+
+void Account::sent(const std::string& server, std::uint32_t type) {
+  auto& counts = sent_[server];
+  if (counts.size() <= type) counts.resize(type + 1);
+  ++counts[type];
+  done_ = true;
+}
+
+void Account::refused(std::string_view type) {
+  std::uint32_t number = type_of(type);
+  if (refused_.size() <= number) refused_.resize(number + 1);
+  ++refused_[number];
+  done_ = true;
+}
+
+}  // namespace violetusher::core::audit
--- /dev/null
+++ b/src/core/audit/account.hpp
@@ -0,0 +1,65 @@
+// What one router did, and on what it acted meanwhile: cut into periods at every change of what it
+// acts on, so that each attempt is counted under the one view that it was sent under. No I/O; the
+// time comes from outside. What it writes are the bodies of a trail's blocks; see trail.hpp.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace violetusher::core::audit {
+
+using Micros = std::int64_t;
+
+class Account {
+ public:
+  /// Of what there are versions, and which: "list" -> "4812", "settings" -> a digest.
+  using Versions = std::map<std::string, std::string>;
+  using Out = std::function<void(std::string body)>;
+  /// Of all settings that this process has had; more are counted as the last one.
+  static constexpr std::size_t kMostTypes = 256;
+
+  /// `versions` is asked at each change, `out` gets the bodies.
+  Account(std::function<Versions()> versions, Out out);
+
+  /// Whether the server gets anything new from here on. Takes effect with changed().
+  void serves(const std::string& server, bool yes);
+  /// Something that the router acts on may have changed: where it has, the period ends and another
+  /// view begins. To be called before anything is done under it.
+  void changed(Micros now);
+  /// Ends a period in which something was done.
+  void tick(Micros now);
+  /// The reader may have missed what was written: the next view says all there is.
+  void say_all() { all_ = true; }
+
+  /// A class's number, for sent(); the same for as long as the process runs.
+  std::uint32_t type_of(std::string_view name);
+  /// The first byte of an attempt went to the server.
+  void sent(const std::string& server, std::uint32_t type);
+  /// A request was given up unserved.
+  void refused(std::string_view type);
+
+  std::uint64_t view() const { return view_; }
+
+ private:
+  void end_period(Micros now);
+
+  std::function<Versions()> versions_;
+  Out out_;
+  std::uint64_t view_ = 0;
+  Versions held_;
+  std::set<std::string> serving_, in_, left_;  // of the list; since the last view
+  bool all_ = true;
+  Micros from_ = 0;
+  std::vector<std::string> types_;
+  std::unordered_map<std::string, std::vector<std::uint64_t>> sent_;  // by type
+  std::vector<std::uint64_t> refused_;
+  bool done_ = false;  // anything since from_
+};
+
+}  // namespace violetusher::core::audit
--- /dev/null
+++ b/src/core/audit/history.cpp
@@ -0,0 +1,173 @@
+#include "history.hpp"
+
+#include <algorithm>
+
+namespace violetusher::core::audit {
+
+/// Goes through one trail.
+class History::Walk {
+ public:
+  Walk(History& h, const std::string& router) : h_(h), router_(router) {}
+
+  void take(const Block& b) {
+    // Blocks are written by the program, but read from a disk: whatever is not as expected is a
+    // block of nothing.
+    if (!b.body.is_object()) return lose("block " + std::to_string(b.number) + " can't be read");
+    try {
+      const std::string kind = b.body.value("k", "");
+      if (b.number != next_ && next_ > 0) lose("blocks are missing");
+      next_ = b.number + 1;
+      if (kind == "file" && b.body.value("why", "") == "start") process_began();
+      if (kind == "gap") gap(b.body);
+      if (kind == "view") view(b.body);
+      if (kind == "did") did(b.body);
+    } catch (const Json::exception&) {
+      lose("block " + std::to_string(b.number) + " can't be read");
+    }
+  }
+
+  void end() {
+    if (span_) h_.spans_.push_back(std::move(*span_));
+    span_.reset();
+    h_.last_known_[router_] = std::max(h_.last_known_[router_], last_);
+  }
+
+ private:
+  /// What comes until the next view that says all can't be judged.
+  void lose(const std::string& why) {
+    close(last_, true);
+    if (judged_) h_.unknown_.push_back({router_, why, last_, last_, 0});
+    judged_ = false;
+  }
+
+  void close(Micros at, bool open) {
+    if (!span_) return;
+    span_->to = std::max(span_->to, at);
+    span_->open = open;
+    h_.spans_.push_back(std::move(*span_));
+    span_.reset();
+  }
+
+  void process_began() {
+    close(last_, true);
+    judged_ = false, view_ = 0;
+    serving_.clear();
+    seen_.clear();
+  }
+
+  void gap(const Json& b) {
+    lose(b.value("why", ""));
+    if (!h_.unknown_.empty()) h_.unknown_.back().to = b.value("to", last_);
+    last_ = std::max(last_, b.value("to", last_));
+  }
+
+  void view(const Json& b) {
+    Micros at = b.at("at");
+    std::uint64_t number = b.at("view");
+    auto versions = b.at("versions").get<Account::Versions>();
+    bool all = b.value("all", false);
+    if (!all && judged_ && number != view_ + 1) lose("views are missing");
+    auto [seen, fresh] = seen_.emplace(number, versions);
+    if (!fresh && seen->second != versions)
+      h_.violations_.push_back({Violation::Kind::kTwoContents, router_, "", number, 1, at, at});
+    close(at, false);
+    if (!judged_ && all && !h_.unknown_.empty() && h_.unknown_.back().router == router_)
+      h_.unknown_.back().to = at;
+    if (all) serving_.clear();
+    judged_ |= all;
+    for (const std::string& id : b.value("in", std::vector<std::string>())) serving_.insert(id);
+    for (const std::string& id : b.value("out", std::vector<std::string>())) serving_.erase(id);
+    view_ = number;
+    last_ = std::max(last_, at);
+    span_ = Span{router_, number, at, at, true, std::move(versions), {}, {}};
+  }
+
+  void did(const Json& b) {
+    std::uint64_t number = b.at("view");
+    Micros from = b.at("from"), to = b.at("to");
+    auto sent = b.at("sent").get<decltype(Span::sent)>();
+    auto refused = b.at("refused").get<decltype(Span::refused)>();
+    last_ = std::max(last_, to);
+    if (!span_ || span_->view != number) {
+      Unknown u{router_, "done under a view that is not known", from, to, 0};
+      for (const auto& [server, types] : sent)
+        for (const auto& [type, count] : types) u.attempts += count;
+      h_.unknown_.push_back(u);
+      return;
+    }
+    for (const auto& [server, types] : sent) {
+      std::uint64_t all = 0;
+      for (const auto& [type, count] : types) span_->sent[server][type] += count, all += count;
+      if (judged_ && !serving_.count(server))
+        h_.violations_.push_back(
+            {Violation::Kind::kSentToOneOut, router_, server, number, all, from, to});
+    }
+    for (const auto& [type, count] : refused) span_->refused[type] += count;
+    span_->to = std::max(span_->to, to);
+  }
+
+  History& h_;
+  std::string router_;
+  std::optional<Span> span_;
+  std::set<std::string> serving_;
+  std::map<std::uint64_t, Account::Versions> seen_;  // of this process
+  std::uint64_t view_ = 0, next_ = 0;
+  Micros last_ = 0;
+  bool judged_ = false;  // what the router served is known
+};
+
+std::uint64_t Span::attempts() const {
+  std::uint64_t sum = 0;
+  for (const auto& [server, types] : sent)
+    for (const auto& [type, count] : types) sum += count;
+  return sum;
+}
+
+void History::add(const Trail& trail) {
+  routers_.insert(trail.router);
+  Walk walk(*this, trail.router);
+  for (const Block& b : trail.blocks) walk.take(b);
+  walk.end();
+}
+
+std::vector<const Span*> History::who(const std::string& kind, const std::string& content) const {
+  std::vector<const Span*> found;
+  for (const Span& s : spans_) {
+    auto v = s.versions.find(kind);
+    if (v != s.versions.end() && v->second == content) found.push_back(&s);
+  }
+  std::stable_sort(found.begin(), found.end(),
+                   [](const Span* a, const Span* b) { return a->from < b->from; });
+  return found;
+}
+
+std::vector<const Span*> History::at(Micros time) const {
+  std::map<std::string, const Span*> found;
+  for (const Span& s : spans_)
+    if (s.from <= time && (time < s.to || (s.open && time == s.to))) found[s.router] = &s;
+  std::vector<const Span*> out;
+  for (const auto& [router, span] : found) out.push_back(span);
+  return out;
+}
+
+std::vector<Arrival> History::arrivals(const std::string& kind, const std::string& content) const {
+  std::map<std::string, Micros> first;
+  for (const Span* s : who(kind, content)) first.emplace(s->router, s->from);
+  std::vector<Arrival> out;
+  if (first.empty()) return out;
+  Micros begin = std::min_element(first.begin(), first.end(), [](auto& a, auto& b) {
+                   return a.second < b.second;
+                 })->second;
+  for (const std::string& router : routers_) {
+    auto at = first.find(router);
+    auto known = last_known_.find(router);
+    out.push_back({router, at == first.end() ? 0 : at->second - begin, at == first.end(),
+                   known == last_known_.end() ? 0 : known->second});
+  }
+  std::stable_sort(out.begin(), out.end(), [](const Arrival& a, const Arrival& b) {
+    return std::make_pair(a.never, a.after) > std::make_pair(b.never, b.after);
+  });
+  return out;
+}
+
+}  // namespace violetusher::core::audit
--- /dev/null
+++ b/src/core/audit/history.hpp
@@ -0,0 +1,83 @@
+// What the trails of many routers say together: who acted on which version from when to when, how
+// long a change took, and what broke a rule. What no trail tells is called unknown. No I/O.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "account.hpp"
+#include "trail.hpp"
+
+namespace violetusher::core::audit {
+
+/// A time in which a router acted on the same versions.
+struct Span {
+  std::string router;
+  std::uint64_t view = 0;  ///< of that process; another process counts anew
+  Micros from = 0, to = 0;
+  bool open = false;  ///< `to` is only the last that is known of it
+  Account::Versions versions;
+  std::map<std::string, std::map<std::string, std::uint64_t>> sent;  ///< attempts, server and class
+  std::map<std::string, std::uint64_t> refused;                      ///< by class
+
+  std::uint64_t attempts() const;
+};
+
+struct Violation {
+  enum class Kind {
+    kSentToOneOut,  ///< an attempt went to a server that was to get nothing new
+    kTwoContents,   ///< one router, process and view, and two contents
+  };
+  Kind kind = Kind::kSentToOneOut;
+  std::string router, what;
+  std::uint64_t view = 0, count = 0;
+  Micros from = 0, to = 0;
+};
+
+/// A time of which a router's trail tells nothing, or nothing that can be judged.
+struct Unknown {
+  std::string router, why;
+  Micros from = 0, to = 0;
+  std::uint64_t attempts = 0;  ///< known of, under a view that is not
+};
+
+/// How a version came to the routers.
+struct Arrival {
+  std::string router;
+  Micros after = 0;       ///< since the first router had it
+  bool never = false;     ///< as far as its trail goes
+  Micros last_known = 0;  ///< of the router at all
+};
+
+class History {
+ public:
+  /// Each router's trail once.
+  void add(const Trail& trail);
+
+  const std::vector<Span>& spans() const { return spans_; }
+  const std::vector<Violation>& violations() const { return violations_; }
+  const std::vector<Unknown>& unknown() const { return unknown_; }
+  const std::set<std::string>& routers() const { return routers_; }
+
+  /// Spans under that version, in the order of their beginnings.
+  std::vector<const Span*> who(const std::string& kind, const std::string& content) const;
+  /// The span of each router that holds the moment; none for those of which it is not known.
+  std::vector<const Span*> at(Micros time) const;
+  /// When each router first had it, the last ones first; those that never had it before them.
+  std::vector<Arrival> arrivals(const std::string& kind, const std::string& content) const;
+
+ private:
+  class Walk;
+
+  std::vector<Span> spans_;
+  std::vector<Violation> violations_;
+  std::vector<Unknown> unknown_;
+  std::set<std::string> routers_;
+  std::map<std::string, Micros> last_known_;
+};
+
+}  // namespace violetusher::core::audit
--- /dev/null
+++ b/src/core/audit/trail.cpp
@@ -0,0 +1,154 @@
+#include "trail.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+#include "core/ledger/bytes.hpp"
+
+namespace violetusher::core::audit {
+namespace {
+
+constexpr std::size_t kSumLength = 16;
+
+std::string hex(std::uint64_t sum) {
+  char text[kSumLength + 1];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(sum));
+  return text;
+}
+
+template <typename T>
+bool number(std::string_view text, T& out, int base) {
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, base);
+  return error == std::errc() && end == text.data() + text.size();
+}
+
+/// A line as it stands, whether or not its sum is right.
+struct Line {
+  Mark mark;
+  std::string_view summed, body;
+};
+
+std::optional<Line> parse(std::string_view text) {
+  Line line;
+  if (text.size() < kSumLength + 4 || text[kSumLength] != ' ') return {};
+  line.summed = text.substr(kSumLength + 1);
+  std::size_t at = line.summed.find(' ');
+  if (at == line.summed.npos || !number(text.substr(0, kSumLength), line.mark.sum, 16) ||
+      !number(line.summed.substr(0, at), line.mark.number, 10) || line.mark.number == 0 ||
+      hex(line.mark.sum) != text.substr(0, kSumLength))
+    return {};
+  line.body = line.summed.substr(at + 1);
+  return line;
+}
+
+bool right(const Line& line, std::uint64_t before) {
+  return ledger::digest(line.summed, before) == line.mark.sum;
+}
+
+/// What a file's head says.
+struct Head {
+  std::string router;
+  std::uint64_t before = 0;
+};
+
+std::optional<Head> head(const Line& line) {
+  Json body = Json::parse(line.body, nullptr, false);
+  Head h;
+  if (!body.is_object() || body.value("k", Json()) != "file" || !body["router"].is_string() ||
+      !body["before"].is_string() || !number(body["before"].get_ref<std::string&>(), h.before, 16))
+    return {};
+  h.router = body["router"];
+  return right(line, h.before) ? std::optional(h) : std::nullopt;
+}
+
+/// The next line of `text`, which loses it; nothing where it has no end.
+std::optional<std::string_view> cut(std::string_view& text) {
+  std::size_t end = text.find('\n');
+  if (end == text.npos) return {};
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(end + 1);
+  return line;
+}
+
+}  // namespace
+
+std::string_view name_of(Fault::Kind kind) {
+  constexpr std::string_view kNames[] = {"torn", "spoilt", "missing", "foreign"};
+  return kNames[static_cast<int>(kind)];
+}
+
+std::string line_of(Mark& last, std::string_view body) {
+  std::string summed = std::to_string(last.number + 1) + " " + std::string(body);
+  last = {last.number + 1, ledger::digest(summed, last.sum)};
+  return hex(last.sum) + " " + summed + "\n";
+}
+
+std::string head_of(const std::string& router, const Mark& last, const std::string& why) {
+  return Json({{"k", "file"}, {"router", router}, {"before", hex(last.sum)}, {"why", why}})
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void Reader::fault(Fault::Kind kind, std::uint64_t from, std::uint64_t to) {
+  trail_.faults.push_back({kind, from, to, file_});
+}
+
+void Reader::file(const std::string& name, std::string_view text) {
+  using Kind = Fault::Kind;
+  file_ = name;
+  Mark& last = trail_.last;
+  auto first = cut(text);
+  auto line = first ? parse(*first) : std::nullopt;
+  auto begin = line ? head(*line) : std::nullopt;
+  if (!begin) {
+    // Its writer may have been ended at the first line; the next file tells what is missing.
+    fault(first ? Kind::kSpoilt : Kind::kTorn, last.number + 1, last.number + 1);
+    return;
+  }
+  bool begins = last.number == 0;
+  if (begins) trail_.router = begin->router;
+  if (begin->router != trail_.router || line->mark.number <= last.number) {
+    fault(Kind::kForeign, line->mark.number, line->mark.number);
+    return;
+  }
+  if (!begins && line->mark.number > last.number + 1)
+    fault(Kind::kMissing, last.number + 1, line->mark.number - 1);
+  else if (!begins && begin->before != last.sum)
+    fault(Kind::kForeign, line->mark.number, line->mark.number);
+  while (true) {
+    Json body = Json::parse(line->body, nullptr, false);
+    last = line->mark;
+    trail_.blocks.push_back({last.number, std::move(body)});
+    // To the next line that is what was written. What a spoilt one says of itself is not believed,
+    // but the sum that stands in it is what the line after it was chained to.
+    std::uint64_t before = last.sum, bad = 0;
+    for (line.reset(); !line;) {
+      auto next = cut(text);
+      if (!next) {
+        if (bad) fault(Kind::kSpoilt, last.number + 1, last.number + bad);
+        if (!text.empty()) fault(Kind::kTorn, last.number + bad + 1, last.number + bad + 1);
+        return;
+      }
+      auto read = parse(*next);
+      if (read && right(*read, before) && read->mark.number > last.number) {
+        line = read;
+      } else {
+        ++bad;
+        before = read ? read->mark.sum : 0;
+      }
+    }
+    std::uint64_t between = line->mark.number - last.number - 1;
+    if (bad || between)
+      fault(between > bad ? Kind::kMissing : Kind::kSpoilt, last.number + 1,
+            std::max(last.number + 1, line->mark.number - 1));
+  }
+}
+
+std::optional<Mark> end_of(std::string_view text) {
+  Reader reader;
+  reader.file("", text);
+  Trail trail = reader.take();
+  return trail.blocks.empty() ? std::nullopt : std::optional(trail.last);
+}
+
+}  // namespace violetusher::core::audit
--- a/src/core/config/compile.cpp
+++ b/src/core/config/compile.cpp
@@ -374,6 +374,14 @@
           out_.diagnostics.add(record.node->at, "a second recorder", "one process has one",
                                record.node->length);
       }
+      if (kind == "audit") {
+        Audit a;
+        m.audits[name] = {r.text("folder"), r.integer("size", a.size), r.integer("keep", a.keep),
+                          r.integer("every", a.every)};
+        if (m.audits.size() > 1)
+          out_.diagnostics.add(record.node->at, "a second audit", "one process has one",
+                               record.node->length);
+      }
       if (kind == "peer") m.peers[name] = {r.text("address"), r.text("hall")};
       if (kind == "rollout") {
         m.rollouts[name] = {r.text("file"), r.integer("spread", Rollout().spread)};
--- a/src/core/config/diff.cpp
+++ b/src/core/config/diff.cpp
@@ -206,6 +206,19 @@
     out.push_back(
         {"ledger", "ledger", text(before) + " -> " + text(after) + " (at the next start)", {}});
   }
+  if (before.audits != after.audits) {
+    auto text = [](const Model& m) {
+      if (m.audits.empty()) return std::string("off");
+      const Audit& a = m.audits.begin()->second;
+      return a.folder + ", " + write_figure(Type::kSize, static_cast<double>(a.size)) + ", " +
+             write_figure(Type::kDuration, static_cast<double>(a.keep)) + ", every " +
+             write_figure(Type::kDuration, static_cast<double>(a.every));
+    };
+    out.push_back({"audit",
+                   "audit's trail",
+                   text(before) + " -> " + text(after) + " (at the next start)",
+                   {}});
+  }
   if (before.recorders != after.recorders) {
     auto text = [](const Model& m) {
       if (m.recorders.empty()) return std::string("off");
--- a/src/core/config/model.hpp
+++ b/src/core/config/model.hpp
@@ -107,6 +107,15 @@
   bool operator==(const Peer&) const = default;
 };
 
+/// What this router did, and what it acted on, kept on disk; see docs/operators/trail.md.
+struct Audit {
+  std::string folder;                   ///< outlives the process, and is this router's own
+  std::int64_t size = 64 << 20;         ///< bytes of all its files
+  std::int64_t keep = 604'800'000'000;  ///< microseconds
+  std::int64_t every = 1'000'000;       ///< microseconds that one block tells of at most
+  bool operator==(const Audit&) const = default;
+};
+
 struct Model {
   std::int64_t version = 1;
   std::map<std::string, Listener> listeners;
@@ -121,6 +130,7 @@
   std::map<std::string, Ledger> ledgers;      ///< one at most
   std::map<std::string, Rollout> rollouts;    ///< by the ledger's name of it, without "file/"
   std::map<std::string, Peer> peers;
+  std::map<std::string, Audit> audits;  ///< one at most
   bool operator==(const Model&) const = default;
 };
 
--- a/src/core/config/schema.cpp
+++ b/src/core/config/schema.cpp
@@ -69,6 +69,12 @@
 constexpr KeyRule kPeer[] = {{.key = "address", .type = Type::kAddress, .required = true},
                              {.key = "hall", .type = Type::kName}};
 
+constexpr KeyRule kAudit[] = {
+    {.key = "folder", .type = Type::kText, .required = true},
+    {.key = "size", .type = Type::kSize, .low = 1048576, .high = 1099511627776},
+    {.key = "keep", .type = Type::kDuration, .low = 60e6, .high = 366 * 86400e6},
+    {.key = "every", .type = Type::kDuration, .low = 100e3, .high = 60e6}};
+
 constexpr SectionRule kSections[] = {
     {.kind = "listener", .keys = kListener},
     {.kind = "class", .keys = kClass},
@@ -82,7 +88,8 @@
     {.kind = "log", .keys = kLog},
     {.kind = "ledger", .keys = kLedger},
     {.kind = "rollout", .keys = kRollout},
-    {.kind = "peer", .keys = kPeer}};
+    {.kind = "peer", .keys = kPeer},
+    {.kind = "audit", .keys = kAudit}};
 
 struct Unit {
   std::string_view name;
--- /dev/null
+++ b/src/daemon/audit/trail_files.cpp
@@ -0,0 +1,285 @@
+#include "trail_files.hpp"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+namespace violetusher::audit {
+namespace {
+
+namespace fs = std::filesystem;
+using core::audit::Json;
+
+constexpr const char* kFront = "trail-";
+constexpr const char* kEnd = ".log";
+
+Micros wall() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string why(const std::string& what) { return what + ": " + std::strerror(errno); }
+
+struct Found {
+  std::string path;
+  std::uint64_t number = 0;  ///< of its first block, by its name
+  std::int64_t size = 0;
+  fs::file_time_type changed;
+};
+
+/// In order.
+std::vector<Found> files_in(const std::string& folder) {
+  std::vector<Found> all;
+  std::error_code error;
+  for (const auto& entry : fs::directory_iterator(folder, error)) {
+    std::string name = entry.path().filename().string();
+    Found f{entry.path().string(), 0, 0, {}};
+    int used = 0;
+    if (std::sscanf(name.c_str(), "trail-%20lu.log%n", &f.number, &used) != 1 ||
+        used != static_cast<int>(name.size()))
+      continue;
+    f.size = static_cast<std::int64_t>(entry.file_size(error));
+    f.changed = entry.last_write_time(error);
+    all.push_back(std::move(f));
+  }
+  std::sort(all.begin(), all.end(), [](auto& a, auto& b) { return a.number < b.number; });
+  return all;
+}
+
+std::string text_of(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  // An empty file sets the bad bit of `text`, not of `in`.
+  if (!in.is_open() || in.bad())
+    throw fs::filesystem_error("can't be read", path,
+                               std::error_code(errno, std::generic_category()));
+  return text.str();
+}
+
+}  // namespace
+
+std::vector<std::string> trail_files(const std::string& folder) {
+  std::vector<std::string> out;
+  for (const Found& f : files_in(folder)) out.push_back(f.path);
+  return out;
+}
+
+core::audit::Trail read_trail(const std::string& folder) {
+  core::audit::Reader reader;
+  for (const std::string& path : trail_files(folder)) {
+    std::string text;
+    try {
+      text = text_of(path);
+    } catch (const fs::filesystem_error&) {
+      std::error_code error;
+      if (fs::exists(path, error)) throw;
+      continue;  // its writer has just let it go, as the oldest
+    }
+    reader.file(path, text);
+  }
+  return reader.take();
+}
+
+TrailFiles::TrailFiles(const TrailSettings& settings, std::function<void(const std::string&)> note)
+    : settings_(settings), note_(std::move(note)), thread_([this] { run(); }) {}
+
+TrailFiles::~TrailFiles() {
+  {
+    std::lock_guard guard(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  thread_.join();
+}
+
+void TrailFiles::write(std::string body) {
+  std::lock_guard guard(mutex_);
+  Micros now = wall();
+  if (queued_ + body.size() > kMostPending) {
+    if (lost_++ == 0) lost_from_ = now;
+    lost_to_ = now;
+    gap_ = true;
+    return;
+  }
+  queued_ += body.size();
+  queue_.push_back({std::move(body), now});
+  wake_.notify_all();
+}
+
+bool TrailFiles::gap_since_asked() {
+  std::lock_guard guard(mutex_);
+  // Once there is room again: what is said while there is none is lost as well.
+  return queued_ < kMostPending / 2 && std::exchange(gap_, false);
+}
+
+void TrailFiles::run() {
+  std::deque<Pending> batch;
+  Micros pause = kRetry;
+  std::unique_lock lock(mutex_);
+  while (true) {
+    wake_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+    batch.swap(queue_);
+    std::uint64_t lost = std::exchange(lost_, 0);
+    if (lost)
+      batch.push_back({Json({{"k", "gap"},
+                             {"from", lost_from_},
+                             {"to", lost_to_},
+                             {"blocks", lost},
+                             {"why", failing_.empty() ? "more than the disk takes" : failing_}})
+                           .dump(-1, ' ', false, Json::error_handler_t::replace),
+                       lost_to_});
+    lock.unlock();
+    std::string wrong = put(batch);
+    if (wrong != failing_) {
+      failing_ = wrong;
+      note_(wrong.empty() ? "the trail is written again" : "the trail is not written: " + wrong);
+    }
+    lock.lock();
+    // What was not taken waits on, before what has come since, and counts against the bound.
+    queue_.insert(queue_.begin(), std::make_move_iterator(batch.begin()),
+                  std::make_move_iterator(batch.end()));
+    batch.clear();
+    queued_ = 0;
+    for (const Pending& p : queue_) queued_ += p.body.size();
+    if (stopping_ && (queue_.empty() || !wrong.empty())) return;
+    pause = wrong.empty() ? kRetry : std::min(2 * pause, kMostRetry);
+    if (!wrong.empty())
+      wake_.wait_for(lock, std::chrono::microseconds(pause / 2), [this] { return stopping_; });
+  }
+}
+
+std::string TrailFiles::put(std::deque<Pending>& batch) {
+  std::string wrong;
+  while (!batch.empty() && wrong.empty()) {
+    auto bytes = static_cast<std::int64_t>(batch.front().body.size());
+    wrong = open(bytes);
+    if (!wrong.empty()) break;
+    core::audit::Mark next = last_;
+    wrong = append(line_of(next, batch.front().body));
+    if (!wrong.empty()) break;
+    last_ = next;
+    batch.pop_front();
+  }
+  // A machine that loses its power loses the last batch at most; a killed process nothing of it.
+  if (wrong.empty() && file_ && ::fdatasync(file_.get()) != 0) {
+    wrong = why(settings_.folder);
+    file_ = net::Fd();  // which of its pages are there nobody knows; what follows is elsewhere
+  }
+  return wrong;
+}
+
+/// What can't be read is what can't be gone on from: the trail then begins anew, past all names.
+std::string TrailFiles::find_end() {
+  last_ = {};
+  auto all = files_in(settings_.folder);
+  for (auto at = all.rbegin(); at != all.rend(); ++at) {
+    std::optional<core::audit::Mark> mark;
+    try {
+      mark = core::audit::end_of(text_of(at->path));
+    } catch (const fs::filesystem_error& e) {
+      return e.what();
+    }
+    if (!mark) continue;
+    last_ = *mark;
+    break;
+  }
+  // Names only grow, so that a file that holds nothing whole is not written over.
+  if (!all.empty()) last_.number = std::max(last_.number, all.back().number);
+  return "";
+}
+
+/// Makes sure that there is a file with room for another block.
+std::string TrailFiles::open(std::int64_t bytes) {
+  std::int64_t most = std::min(settings_.size / kFiles, kMostFile);
+  if (file_ && written_ + bytes < most) return "";
+  file_ = net::Fd();
+  std::error_code error;
+  fs::create_directories(settings_.folder, error);
+  if (!lock_) {
+    net::Fd lock(::open((settings_.folder + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644));
+    if (!lock) return why(settings_.folder + "/lock");
+    // The process before this one may still be ending; its blocks come first.
+    if (::flock(lock.get(), LOCK_EX | LOCK_NB) != 0)
+      return settings_.folder + ": another process writes there";
+    lock_ = std::move(lock);
+  }
+  if (!known_) {
+    std::string wrong = find_end();
+    if (!wrong.empty()) return wrong;
+    known_ = true;
+  }
+  make_room();
+  core::audit::Mark next = last_;
+  std::string line = line_of(next, head_of(settings_.router, last_,
+                                           !started_          ? "start"
+                                           : failing_.empty() ? "size"
+                                                              : failing_));
+  char name[64];
+  std::snprintf(name, sizeof name, "/%s%020lu%s", kFront, next.number, kEnd);
+  net::Fd file(::open((settings_.folder + name).c_str(),
+                      O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC, 0644));
+  if (!file) {
+    if (errno == EEXIST) ++last_.number;  // somebody else's: one past it at the next try
+    return why(settings_.folder + name);
+  }
+  file_ = std::move(file);
+  written_ = 0;
+  std::string wrong = append(line);
+  if (!wrong.empty()) {
+    ::unlink((settings_.folder + name).c_str());  // it holds nothing whole
+    file_ = net::Fd();
+    return wrong;
+  }
+  last_ = next;
+  if (std::exchange(started_, true)) {
+    std::lock_guard guard(mutex_);
+    gap_ = true;  // files are read alone too: each says all near its beginning
+  }
+  return "";
+}
+
+std::string TrailFiles::append(const std::string& line) {
+  for (std::size_t at = 0; at < line.size();) {
+    ssize_t put = ::write(file_.get(), line.data() + at, line.size() - at);
+    if (put < 0 && errno == EINTR) continue;
+    if (put <= 0) {
+      std::string wrong = why(settings_.folder);
+      // The line is begun anew once there is room; where its part can't be taken back, in another
+      // file.
+      if (at > 0 && ::ftruncate(file_.get(), written_) != 0) file_ = net::Fd();
+      return wrong;
+    }
+    at += static_cast<std::size_t>(put);
+  }
+  written_ += static_cast<std::int64_t>(line.size());
+  return "";
+}
+
+/// The oldest go until there is room for another whole file.
+void TrailFiles::make_room() {
+  auto all = files_in(settings_.folder);
+  std::int64_t most = std::min(settings_.size / kFiles, kMostFile), sum = most;
+  for (const Found& f : all) sum += f.size;
+  auto old = fs::file_time_type::clock::now() - std::chrono::microseconds(settings_.keep);
+  for (const Found& f : all) {
+    if (sum <= settings_.size && f.changed > old) break;
+    std::error_code error;
+    fs::remove(f.path, error);
+    sum -= f.size;
+  }
+}
+
+}  // namespace violetusher::audit
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -15,6 +15,8 @@
 #include "net/router.hpp"
 #include "net/system_io.hpp"
 #ifdef VIOLETUSHER_LEDGER
+#include "daemon/audit/trail_files.hpp"
+#include "daemon/crossing.hpp"
 #include "daemon/ledger/service.hpp"
 #endif
 
@@ -65,6 +67,7 @@
     router_.listen_besides(model);
     recorders_ = model.recorders;
     hold_together(base, model);
+    keep_trail(base, model);
     if (!model.recorders.empty()) record(model.recorders.begin()->second);
     use(std::move(model));
   }
@@ -114,11 +117,7 @@
       io_.renew();
       say(Log::Level::kInfo, event, text);
     };
-    handler.versions = [this] {
-      return std::map<std::string, std::string>{{"program", VIOLETUSHER_VERSION},
-                                                {"settings", settings_digest_},
-                                                {"list", router_.list_version()}};
-    };
+    handler.versions = [this] { return versions(); };
     handler.try_on = [this](violetusher::ledger::RolledFile& file) { return try_on(file); };
     ledger_ =
         std::make_unique<violetusher::ledger::Service>(base, model, name_, std::move(handler));
@@ -129,6 +128,37 @@
 #endif
   }
 
+  /// Where the operator file asks for it: what is done here is kept on disk, with what it was done
+  /// on.
+  void keep_trail(event_base* base, const violetusher::core::config::Model& model) {
+    if (model.audits.empty()) return;
+#ifdef VIOLETUSHER_LEDGER
+    std::signal(SIGXFSZ, SIG_IGN);
+    read_settings();
+    read_operator_file();
+    const violetusher::core::config::Audit& audit = model.audits.begin()->second;
+    to_router_ = std::make_unique<Crossing>(base);
+    trail_ = std::make_unique<violetusher::audit::TrailFiles>(
+        violetusher::audit::TrailSettings{audit.folder, name_, audit.size, audit.keep},
+        [this](const std::string& text) {
+          to_router_->post([this, text] {
+            io_.renew();
+            say(Log::Level::kWarn, "audit-trail", "audit: " + text);
+          });
+        });
+    account_ = std::make_unique<violetusher::core::audit::Account>([this] { return versions(); },
+                                                                   [this](std::string body) {
+                                                                     if (trail_->gap_since_asked())
+                                                                       account_->say_all();
+                                                                     trail_->write(std::move(body));
+                                                                   });
+    router_.keep_account(*account_, audit.every);
+#else
+    (void)base;
+    throw ConfigError(operator_file_ + ": 'audit': this program was built without it");
+#endif
+  }
+
   void say(Log::Level level, std::string_view event, const std::string& text) {
     log_.write(io_.now(), level, event, text, {{"router", std::string_view(name_)}});
   }
@@ -162,11 +192,36 @@
     router_.note_reload(take_over());
 #ifdef VIOLETUSHER_LEDGER
     if (ledger_) ledger_->look_again();
-    read_settings();
+    act_on_files();
 #endif
   }
 
 #ifdef VIOLETUSHER_LEDGER
+  /// What the router acts on, by kind: a digest or a name each.
+  std::map<std::string, std::string> versions() const {
+    std::string out;
+    for (const std::string& id : router_.servers_out()) out += id + "\n";
+    return {{"program", VIOLETUSHER_VERSION},
+            {"settings", settings_digest_},
+            {"operator", operator_digest_},
+            {"list", router_.list_version()},
+            {"out", out.empty() ? "none" : violetusher::core::ledger::label(out)}};
+  }
+
+  /// The files have been read again, and are in use.
+  void act_on_files() {
+    read_settings();
+    read_operator_file();
+    router_.acts_anew();
+  }
+
+  /// The text itself; what it includes is not looked at.
+  void read_operator_file() {
+    std::string text;
+    if (read_plain_file(operator_file_, text).empty())
+      operator_digest_ = violetusher::core::ledger::label(text);
+  }
+
   /// Of the file that the settings were taken from; for the audit of the fleet.
   void read_settings() {
     const char* path = std::getenv("NODE_CONFIG");
@@ -201,7 +256,7 @@
     bool taken = take_over();
     router_.note_reload(taken);
     if (!taken) file.undo();
-    if (taken) read_settings();
+    if (taken) act_on_files();
     return taken ? "" : "the router did not take it over; its log says why";
   }
 #endif
@@ -215,6 +270,8 @@
       if (model.ledgers != model_.ledgers || model.peers != model_.peers ||
           model.rollouts != model_.rollouts)
         say(Log::Level::kWarn, "reload-needs-restart", "reload: ledger differs: needs a restart");
+      if (model.audits != model_.audits)
+        say(Log::Level::kWarn, "reload-needs-restart", "reload: audit differs: needs a restart");
       if (model.recorders != recorders_)
         say(Log::Level::kWarn, "reload-needs-restart", "reload: recorder differs: needs a restart");
       router_.listen_besides(model);
@@ -250,10 +307,15 @@
   std::map<std::string, violetusher::core::config::Recorder> recorders_;  // as at the start
   violetusher::core::config::Model model_;                                // in use
   std::unique_ptr<FlightFile> flight_;
+#ifdef VIOLETUSHER_LEDGER
+  std::unique_ptr<Crossing> to_router_;
+  std::unique_ptr<violetusher::audit::TrailFiles> trail_;
+  std::unique_ptr<violetusher::core::audit::Account> account_;
+#endif
   Router router_;
 #ifdef VIOLETUSHER_LEDGER
   std::unique_ptr<violetusher::ledger::Service> ledger_;
-  std::string settings_digest_;
+  std::string settings_digest_, operator_digest_;
 #endif
   std::vector<EventPtr> signals_;
 };
--- a/src/kit/main.cpp
+++ b/src/kit/main.cpp
@@ -28,6 +28,7 @@
   violetusher::kit::add_ledger(app, code);
   violetusher::kit::add_rollout(app, code);
   violetusher::kit::add_audit(app, code);
+  violetusher::kit::add_trail(app, code);
   violetusher::chaos::add_chaos(app, argv[0], code);
   try {
     app.parse(argc, argv);
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -101,6 +101,7 @@
 }
 
 void RequestCore::count(const std::string& type, Reply::Kind kind) {
+  if (account_ && kind == Reply::Kind::Busy) account_->refused(type);
   using End = core::ops::Figures::End;
   bool served = kind == Reply::Kind::Value || kind == Reply::Kind::Stored;
   p_.figures.count(type, served                      ? End::kSuccess
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -33,6 +33,8 @@
 
   /// What an operator file makes of requests from now on; those that are open keep theirs.
   void operate(std::shared_ptr<core::Traffic> traffic) { traffic_ = std::move(traffic); }
+  /// Tells `account`, which outlives this, what is refused.
+  void keep_account(core::audit::Account& account) { account_ = &account; }
   /// Called where a rule is close to being broken, with what it is about.
   void on_alert(std::function<void(const char* what)> alert) { alert_ = std::move(alert); }
 
@@ -90,6 +92,7 @@
   std::size_t unanswered_ = 0;
   std::shared_ptr<core::Traffic> traffic_;
   std::function<void(const char*)> alert_;
+  core::audit::Account* account_ = nullptr;
 };
 
 }  // namespace violetusher::net
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -124,6 +124,7 @@
   pools_.operate(traffic_);
   core_.operate(routes ? traffic_ : nullptr);
   servers_.take_list(pools_.whole_list());
+  acts_anew();
 }
 
 void Router::record(core::flight::Ring* ring, std::function<void(const char* what)> alert) {
@@ -131,6 +132,19 @@
   core_.on_alert(std::move(alert));
 }
 
+void Router::keep_account(core::audit::Account& account, Micros every) {
+  account_ = &account;
+  account_every_ = every;
+  servers_.keep_account(account);
+  core_.keep_account(account);
+  account_alarm_ = io_.alarm([this] {
+    account_->tick(io_.now());
+    account_alarm_->set(account_every_);
+  });
+  account_alarm_->set(account_every_);
+  acts_anew();
+}
+
 void Router::run() {
   running_ = true;
   while (!done_) {
@@ -145,6 +159,7 @@
     arm();
     io_.run_once();
   }
+  if (account_) account_->tick(io_.now());
 }
 
 void Router::stop() {
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -8,6 +8,7 @@
 
 #include "client_side.hpp"
 #include "config.hpp"
+#include "core/audit/account.hpp"
 #include "core/flight/ring.hpp"
 #include "core/ops/figures.hpp"
 #include "discovery.hpp"
@@ -49,6 +50,14 @@
   /// is told where a rule is close to being broken.
   void record(core::flight::Ring* ring, std::function<void(const char* what)> alert);
 
+  /// Tells `account`, which outlives the router, what is done and on what; it closes a period each
+  /// `every`.
+  void keep_account(core::audit::Account& account, Micros every);
+  /// Something that requests are served by has changed, besides the list.
+  void acts_anew() {
+    if (account_) account_->changed(io_.now());
+  }
+
   /// Servers out and back are the fleet's matter from now on; see Operations::use().
   void use(Operations::Promises& promises) { operations_.use(promises); }
   void hold_out(const std::set<std::string>& out) { operations_.hold(out); }
@@ -56,6 +65,7 @@
   const Config& config() const { return config_; }
   /// Of the list of servers in use, as discovery named it.
   const std::string& list_version() const { return operations_.hosts().version(); }
+  const std::set<std::string>& servers_out() const { return operations_.hosts().all_out(); }
   std::uint16_t port(const std::string& listener = {}) const { return clients_.port(listener); }
   std::uint16_t operator_port() const { return operations_.port(); }
   /// How old that list may be: since an answer of discovery last showed what it is.
@@ -74,6 +84,7 @@
   // Discovery::Handler
   void on_hosts(HostList&& list, bool doubted) override {
     servers_.take_list(pools_.take(operations_.hosts().take(std::move(list), doubted)));
+    acts_anew();
   }
   void on_hosts_failed() override { pools_.lists_failed(); }
   // PoolSet::Handler
@@ -86,6 +97,7 @@
   // Operations::Handler
   void on_out_or_back(HostList&& change) override {
     servers_.take_list(pools_.take(std::move(change)));
+    acts_anew();
   }
   core::ops::Figures::Now standing() override;
 
@@ -112,7 +124,9 @@
   Discovery discovery_;
   Operations operations_;
   std::shared_ptr<core::Traffic> traffic_;
-  std::unique_ptr<Alarm> alarm_, stop_alarm_, change_over_alarm_;
+  core::audit::Account* account_ = nullptr;
+  Micros account_every_ = 0;
+  std::unique_ptr<Alarm> alarm_, stop_alarm_, change_over_alarm_, account_alarm_;
   violetusher::Request request_;         // the one that a module is told of
   violetusher::Settings next_settings_;  // from the end of the change-over
   Micros armed_at_ = 0;                  // 0: not set
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -107,6 +107,7 @@
       return;
     }
     partial_ += static_cast<std::size_t>(put);
+    if (side_.account_) count_begun();
     while (sent_ < entries_.size() && partial_ >= entries_[sent_].size) {
       Entry& e = entries_[sent_];
       partial_ -= e.size;
@@ -119,6 +120,16 @@
   }
 }
 
+/// An attempt counts from its first byte.
+void ServerConnection::count_begun() {
+  std::size_t at = 0;
+  for (std::size_t k = sent_; k < entries_.size() && at < partial_; ++k) {
+    Entry& e = entries_[k];
+    at += e.size;
+    if (!std::exchange(e.begun, true)) side_.account_->sent(pool_.id, e.type);
+  }
+}
+
 void ServerConnection::read() {
   ssize_t got = side_.io_.recv(socket_.number(), side_.scratch_.get(), ServerSide::kScratch);
   if (got == Io::kAgain) return;
@@ -213,6 +224,8 @@
   e.attempt = attempt;
   e.live = true;
   e.set = command.set;
+  e.begun = false;
+  e.type = side_.account_ ? side_.account_->type_of(command.type) : 0;
   e.answer_id = command.id;
   e.bytes.clear();
   protocol::append_command(e.bytes, command, wait_ms);
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -28,10 +28,12 @@
     int attempt = 0;
     bool live = true;  // somebody waits for it
     bool set = false;
-    std::string answer_id;  // that its answer must bear
-    std::string bytes;      // of the command; given up once written
-    std::size_t size = 0;   // of those bytes
-    Micros since = 0;       // queued, then abandoned
+    std::string answer_id;   // that its answer must bear
+    std::string bytes;       // of the command; given up once written
+    std::size_t size = 0;    // of those bytes
+    Micros since = 0;        // queued, then abandoned
+    std::uint32_t type = 0;  // its class, as the account numbers it
+    bool begun = false;      // counted as sent
   };
 
   ServerConnection(ServerSide& side, ServerPool& pool, Socket socket, std::uint32_t number);
@@ -75,6 +77,7 @@
   Micros used_at_;
 
  private:
+  void count_begun();
   void connected(unsigned what);
   void read();
   void take_piece(std::string_view piece);
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -48,6 +48,7 @@
     if (at == pools_.end()) {
       if (gone) continue;
       at = pools_.emplace(host.server.id, std::make_unique<ServerPool>()).first;
+      at->second->id = host.server.id;
     }
     ServerPool& pool = *at->second;
     // Another process, or another place: what is open leads to the old one.
@@ -71,9 +72,16 @@
       if (c->retiring_) c->drop_unsent(all);
     }
   }
+  if (account_)
+    for (auto& [id, pool] : pools_) account_->serves(id, pool->wanted);
   sweep();
 }
 
+void ServerSide::keep_account(core::audit::Account& account) {
+  account_ = &account;
+  for (auto& [id, pool] : pools_) account_->serves(id, pool->wanted);
+}
+
 ServerConnection* ServerSide::dial(ServerPool& pool) {
   if (!pool.address) return nullptr;
   Socket socket = io_.connect(*pool.address);
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config.hpp"
+#include "core/audit/account.hpp"
 #include "core/connections/keep.hpp"
 #include "core/flight/ring.hpp"
 #include "io.hpp"
@@ -73,6 +74,8 @@
     limits_ = limits;
     limits_.connections = connections;
   }
+  /// Tells `account`, which outlives this, what is sent and who gets anything new.
+  void keep_account(core::audit::Account& account);
   /// Servers of which anything is kept.
   std::size_t pools() const { return pools_.size(); }
 
@@ -97,6 +100,7 @@
   Limits limits_;
   const std::vector<violetusher::ReportField>* fields_;
   core::flight::Recorder& recorder_;
+  core::audit::Account* account_ = nullptr;
   std::unique_ptr<Alarm> sweep_alarm_;
   std::unordered_map<std::string, std::unique_ptr<ServerPool>> pools_;
   std::size_t total_ = 0;
--- /dev/null
+++ b/tests/core/audit/history_test.cpp
@@ -0,0 +1,162 @@
+// What is done is told under the view it was done under, and what the trail does not tell is called
+// unknown.
+#include "core/audit/history.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace violetusher::core::audit {
+namespace {
+
+/// A router's account whose bodies become blocks, but for those that are lost.
+struct Router {
+  explicit Router(const std::string& name)
+      : account([this] { return versions; }, [this](std::string body) { write(body); }) {
+    trail.router = name;
+    write(head_of(name, {}, "start"));
+  }
+  void write(const std::string& body) {
+    if (!losing) trail.blocks.push_back({next, Json::parse(body)});
+    if (!losing) ++next;
+  }
+  Trail trail;
+  Account::Versions versions{{"list", "1"}};
+  bool losing = false;
+  std::uint64_t next = 1;
+  Account account;
+};
+
+TEST(History, EachAttemptIsUnderTheViewItWasSentUnder) {
+  std::mt19937 random(7);
+  Router r("r1");
+  std::map<std::string, std::uint64_t> sent;  // by the list's version
+  std::uint32_t read = r.account.type_of("read");
+  r.account.serves("a", true);
+  r.account.serves("b", true);
+  Micros now = 1000;
+  r.account.changed(now);
+  for (int k = 0; k < 2000; ++k, now += 10) {
+    if (random() % 50 == 0) {
+      r.versions["list"] = std::to_string(k);
+      r.account.serves("b", random() % 2);
+      r.account.changed(now);
+    }
+    if (random() % 30 == 0) r.account.tick(now);
+    r.account.sent("a", read);
+    ++sent[r.versions["list"]];
+  }
+  r.account.tick(now);
+  History h;
+  h.add(r.trail);
+  for (const auto& [version, count] : sent) {
+    std::uint64_t told = 0;
+    for (const Span* s : h.who("list", version)) told += s->attempts();
+    EXPECT_EQ(told, count) << version;
+  }
+  EXPECT_TRUE(h.violations().empty());
+  EXPECT_TRUE(h.unknown().empty());
+  for (Micros at = 1000; at < now; at += 77) EXPECT_EQ(h.at(at).size(), 1u) << at;
+  EXPECT_TRUE(h.at(999).empty());
+}
+
+TEST(History, ASendToOneThatIsOutIsNamedAndNoOther) {
+  Router r("r1");
+  r.account.serves("a", true);
+  r.account.serves("b", true);
+  r.account.changed(1000);
+  r.account.sent("a", r.account.type_of("read"));
+  r.account.serves("a", false);
+  r.account.changed(2000);  // the one before is no violation: its period ends here
+  r.account.sent("b", 0);
+  r.account.sent("a", 0);
+  r.account.refused("put");
+  r.account.tick(3000);
+  History h;
+  h.add(r.trail);
+  ASSERT_EQ(h.violations().size(), 1u);
+  EXPECT_EQ(h.violations()[0].what, "a");
+  EXPECT_EQ(h.violations()[0].count, 1u);
+  EXPECT_EQ(h.violations()[0].from, 2000);
+  EXPECT_EQ(h.spans().back().refused.at("put"), 1u);
+}
+
+/// Changes that were lost must not make what came after look wrong, or right.
+TEST(History, AfterAGapNothingIsJudgedUntilAllIsSaidAnew) {
+  Router r("r1");
+  r.account.serves("a", true);
+  r.account.changed(1000);
+  r.losing = true;
+  r.account.serves("a", false);
+  r.account.serves("b", true);
+  r.account.changed(2000);
+  r.account.serves("c", true);
+  r.account.changed(2500);
+  r.losing = false;
+  r.account.sent("b", r.account.type_of("read"));
+  r.account.tick(3000);
+  r.write(R"({"k":"gap","from":2000,"to":2600,"blocks":2,"why":"full"})");
+  r.account.serves("b", false);
+  r.account.changed(3500);
+  r.account.sent("b", 0);
+  r.account.tick(4000);
+  r.account.say_all();
+  r.account.tick(5000);
+  r.account.sent("b", 0);
+  r.account.tick(6000);
+  History h;
+  h.add(r.trail);
+  ASSERT_EQ(h.violations().size(), 1u);
+  EXPECT_EQ(h.violations()[0].from, 5000);
+  std::uint64_t unknown = 0;
+  for (const Unknown& u : h.unknown()) unknown += u.attempts;
+  EXPECT_EQ(unknown, 1u);
+  EXPECT_EQ(h.unknown().front().why.empty(), false);
+}
+
+TEST(History, TwoContentsUnderOneNumberAndWhoIsLate) {
+  Router first("r1"), second("r2"), third("r3");
+  first.account.changed(1000);
+  first.versions["list"] = "2";
+  first.account.changed(2000);
+  second.versions["list"] = "2";
+  second.account.changed(2600);
+  third.account.changed(1500);
+  third.write(R"({"k":"view","at":1700,"view":1,"versions":{"list":"9"},"all":true,"in":[]})");
+  History h;
+  for (const Router* r : {&first, &second, &third}) h.add(r->trail);
+  ASSERT_EQ(h.violations().size(), 1u);
+  EXPECT_EQ(h.violations()[0].kind, Violation::Kind::kTwoContents);
+  EXPECT_EQ(h.violations()[0].router, "r3");
+  auto arrivals = h.arrivals("list", "2");
+  ASSERT_EQ(arrivals.size(), 3u);
+  EXPECT_TRUE(arrivals[0].never);
+  EXPECT_EQ(arrivals[0].router, "r3");
+  EXPECT_EQ(arrivals[1].after, 600);
+  EXPECT_EQ(arrivals[2].router, "r1");
+}
+
+/// Blocks come from a disk: bodies of any shape are nothing worse than unknown.
+TEST(History, BodiesOfAnyShapeAreRead) {
+  const char* bodies[] = {"{}",
+                          "[]",
+                          "3",
+                          R"({"k":7})",
+                          R"({"k":"view"})",
+                          R"({"k":"did","view":"x"})",
+                          R"({"k":"view","at":1,"view":1,"versions":{"a":1}})",
+                          R"({"k":"did","view":1,"from":1,"to":2,"sent":{"a":3},"refused":[]})",
+                          R"({"k":"gap","from":"x","to":[]})",
+                          R"({"k":"view","at":1,"view":2,"versions":{},"all":true,"in":{"a":1}})"};
+  for (const char* body : bodies) {
+    Router r("r1");
+    r.account.changed(1000);
+    r.write(body);
+    History h;
+    h.add(r.trail);
+    EXPECT_TRUE(h.violations().empty()) << body;
+  }
+}
+
+}  // namespace
+}  // namespace violetusher::core::audit
--- /dev/null
+++ b/tests/core/audit/trail_test.cpp
@@ -0,0 +1,136 @@
+// A trail that was cut, torn, spoilt or edited is found, and what is left of it is what was
+// written.
+#include "core/audit/trail.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace violetusher::core::audit {
+namespace {
+
+struct Written {
+  std::string text;
+  std::vector<std::string> lines;
+  std::map<std::uint64_t, std::string> bodies;
+  Mark last;
+};
+
+Written written(int blocks, Mark before = {}, const std::string& router = "r1") {
+  Written w;
+  w.last = before;
+  for (int k = 0; k <= blocks; ++k) {
+    std::string body =
+        k == 0 ? head_of(router, before, "start") : R"({"k":"did","n":)" + std::to_string(k) + "}";
+    w.lines.push_back(line_of(w.last, body));
+    w.bodies[w.last.number] = Json::parse(body).dump();
+    w.text += w.lines.back();
+  }
+  return w;
+}
+
+Trail read(const std::vector<std::string>& files) {
+  Reader reader;
+  for (std::size_t k = 0; k < files.size(); ++k) reader.file(std::to_string(k), files[k]);
+  return reader.take();
+}
+
+/// Every block that is given out is one that was written, in order and once.
+void expect_true(const Trail& trail, const Written& w, const std::string& what) {
+  std::uint64_t last = 0;
+  for (const Block& b : trail.blocks) {
+    ASSERT_GT(b.number, last) << what;
+    last = b.number;
+    auto at = w.bodies.find(b.number);
+    ASSERT_NE(at, w.bodies.end()) << what;
+    EXPECT_EQ(b.body.dump(), at->second) << what;
+  }
+}
+
+TEST(Trail, GoesOnOverFiles) {
+  Written first = written(5), second = written(3, first.last);
+  Trail trail = read({first.text, second.text});
+  EXPECT_EQ(trail.router, "r1");
+  EXPECT_EQ(trail.blocks.size(), 10u);
+  EXPECT_TRUE(trail.faults.empty());
+  EXPECT_EQ(trail.last.number, 10u);
+}
+
+TEST(Trail, AnyChangedByteIsFound) {
+  Written w = written(4);
+  for (std::size_t at = 0; at < w.text.size(); ++at)
+    for (char flip : {'\x01', '\x20'}) {
+      std::string text = w.text;
+      text[at] = static_cast<char>(text[at] ^ flip);
+      Trail trail = read({text});
+      EXPECT_FALSE(trail.faults.empty()) << at;
+      expect_true(trail, w, std::to_string(at));
+      if (at >= w.lines[0].size()) EXPECT_GE(trail.blocks.size(), 2u) << at;
+    }
+}
+
+TEST(Trail, LinesTakenOutDoubledOrSwappedAreFound) {
+  Written w = written(6);
+  for (std::size_t k = 1; k + 1 < w.lines.size(); ++k) {
+    auto out = w.lines, twice = w.lines, swapped = w.lines;
+    out.erase(out.begin() + static_cast<std::ptrdiff_t>(k));
+    twice.insert(twice.begin() + static_cast<std::ptrdiff_t>(k), w.lines[k]);
+    std::swap(swapped[k], swapped[k + 1]);
+    for (const auto& lines : {out, twice, swapped}) {
+      std::string text;
+      for (const std::string& line : lines) text += line;
+      Trail trail = read({text});
+      EXPECT_FALSE(trail.faults.empty()) << k;
+      expect_true(trail, w, std::to_string(k));
+    }
+  }
+}
+
+TEST(Trail, ATornEndIsToldAndWhatFollowsIsRead) {
+  Written w = written(4);
+  for (std::size_t size = 0; size < w.text.size(); ++size) {
+    std::string text = w.text.substr(0, size);
+    bool whole = !text.empty() && text.back() == '\n';
+    Trail trail = read({text});
+    EXPECT_EQ(trail.faults.empty(), whole) << size;
+    expect_true(trail, w, std::to_string(size));
+    auto end = end_of(text);
+    if (!end) continue;
+    Written next = written(2, *end);
+    Trail both = read({text, next.text});
+    EXPECT_EQ(both.blocks.size(), trail.blocks.size() + 3) << size;
+    EXPECT_EQ(both.faults.size(), trail.faults.size()) << size;
+  }
+}
+
+TEST(Trail, AFileThatIsNotThereOrAnothersIsFound) {
+  Written a = written(3), b = written(3, a.last), c = written(3, b.last);
+  Trail gone = read({a.text, c.text});
+  ASSERT_EQ(gone.faults.size(), 1u);
+  EXPECT_EQ(gone.faults[0].kind, Fault::Kind::kMissing);
+  EXPECT_EQ(gone.faults[0].from, 5u);
+  EXPECT_EQ(gone.faults[0].to, 8u);
+  // The oldest files go by size and age: that is no fault.
+  EXPECT_TRUE(read({b.text, c.text}).faults.empty());
+  Trail others = read({a.text, written(3, a.last, "r2").text});
+  ASSERT_EQ(others.faults.size(), 1u);
+  EXPECT_EQ(others.faults[0].kind, Fault::Kind::kForeign);
+  EXPECT_EQ(others.blocks.size(), 4u);
+  Trail rewritten = read({a.text, written(3, Mark{4, 77}).text});
+  ASSERT_EQ(rewritten.faults.size(), 1u);
+  EXPECT_EQ(rewritten.faults[0].kind, Fault::Kind::kForeign);
+}
+
+TEST(Trail, AnyBytesAreRead) {
+  Written w = written(2);
+  for (const char* text : {"", "\n", "\n\n\n", "0 1 {}\n", "0000000000000000 1 {}\n",
+                           "ffffffffffffffff 99999999999999999999 {}\n", "a b c d\n{}\n"}) {
+    EXPECT_FALSE(read({text}).faults.empty());
+    Trail after = read({w.text, text, written(1, w.last).text});
+    EXPECT_EQ(after.blocks.size(), 5u) << text;
+    EXPECT_FALSE(after.faults.empty()) << text;
+  }
+}
+
+}  // namespace
+}  // namespace violetusher::core::audit
