Two others hold what each router last said, so that of a lost machine it is known

Off without both, so the rigs' schedules and `run` are as before.

Four processes: one is killed and its folders removed, then one of its witnesses killed: the audit tells its last list, settings and mark as they were; another disk under its name leaves that readable as a former life. `operator` is no kind of the live audit, as that file names each router's own folders.

--- a/src/core/audit/trail.cpp
+++ b/src/core/audit/trail.cpp
@@ -78,6 +78,8 @@
   return kNames[static_cast<int>(kind)];
 }
 
+std::string text_of(const Mark& mark) { return std::to_string(mark.number) + ":" + hex(mark.sum); }
+
 std::string line_of(Mark& last, std::string_view body) {
   std::string summed = std::to_string(last.number + 1) + " " + std::string(body);
   last = {last.number + 1, ledger::digest(summed, last.sum)};
--- a/src/core/audit/trail.hpp
+++ b/src/core/audit/trail.hpp
@@ -20,6 +20,9 @@
   std::uint64_t number = 0, sum = 0;  ///< 0: nothing was written yet
 };
 
+/// "NUMBER:SUM"
+std::string text_of(const Mark& mark);
+
 /// The line of the next block, with its end; `last` becomes that block. `body` has no line end.
 std::string line_of(Mark& last, std::string_view body);
 /// The body of the first block of a file.
--- a/src/daemon/audit/trail_files.cpp
+++ b/src/daemon/audit/trail_files.cpp
@@ -119,6 +119,11 @@
   wake_.notify_all();
 }
 
+std::string TrailFiles::last() {
+  std::lock_guard guard(mutex_);
+  return on_disk_.number ? core::audit::text_of(on_disk_) : std::string();
+}
+
 bool TrailFiles::gap_since_asked() {
   std::lock_guard guard(mutex_);
   // Once there is room again: what is said while there is none is lost as well.
@@ -148,6 +153,7 @@
       note_(wrong.empty() ? "the trail is written again" : "the trail is not written: " + wrong);
     }
     lock.lock();
+    if (wrong.empty()) on_disk_ = last_;
     // What was not taken waits on, before what has come since, and counts against the bound.
     queue_.insert(queue_.begin(), std::make_move_iterator(batch.begin()),
                   std::make_move_iterator(batch.end()));
--- a/src/daemon/audit/trail_files.hpp
+++ b/src/daemon/audit/trail_files.hpp
@@ -48,6 +48,9 @@
 
   /// From any thread; never waits for the disk.
   void write(std::string body);
+  /// The last block on disk: its number and sum, as `trail check` writes them; empty before the
+  /// first.
+  std::string last();
   /// Whether a reader of what comes now may have missed what came before; asked for once.
   bool gap_since_asked();
 
@@ -80,6 +83,7 @@
   std::size_t queued_ = 0;  // bytes
   std::uint64_t lost_ = 0;  // blocks, between the two times
   Micros lost_from_ = 0, lost_to_ = 0;
+  core::audit::Mark on_disk_;
   bool gap_ = false, stopping_ = false;
   std::thread thread_;
 };
--- a/src/daemon/ledger/node.cpp
+++ b/src/daemon/ledger/node.cpp
@@ -50,6 +50,7 @@
     : storage_(storage),
       settings_(settings),
       outside_(outside),
+      witnesses_(settings.name, settings.hall, settings.peers, settings.witnesses),
       caller_(outside.random() | 1),
       next_id_(outside.random() | 1) {
   last_tick_ = outside_.now();
@@ -264,6 +265,8 @@
   if (f->kind == "answer") return on_answer(*f);
   if (f->kind == "follow") return on_follow(*f);
   if (f->kind == "feed") return on_feed(*f);
+  if (f->kind == "summary") return on_summary(*f);
+  if (f->kind == "summary-held") return witnesses_.held_by(f->name);
   if (f->kind == "hint") {
     leader_ = text(f->body, "leader");
     for (auto& [id, p] : pending_)
@@ -453,6 +456,7 @@
            {"members", members},
            {"followers", followers_.size()}};
   out.update(told_);
+  if (settings_.witnesses > 0) out["witness"] = witnesses_.held(outside_.now());
   if (keeper_) {
     const Mark& m = keeper_->mark();
     out["log"] = {{"term", m.term}, {"last", m.last_index}};
@@ -572,6 +576,26 @@
   send(parent_, "follow", {{"at", at.json()}});
 }
 
+/// What this router tells of itself, with what it acts on, goes to others in case it is lost with
+/// its disk.
+void Node::say_to_witnesses() {
+  if (settings_.witnesses == 0 || meta_.group == 0) return;
+  auto whom = witnesses_.due(outside_.now());
+  if (whom.empty()) return;
+  // Past the numbers of the life before, which are not kept.
+  Json body{{"number", meta_.boot << 32 | ++summaries_}, {"said", told_}};
+  body["said"]["age_us"] = age();
+  for (const std::string& name : whom) send(name, "summary", body);
+}
+
+void Node::on_summary(const Frame& f) {
+  if (settings_.witnesses == 0 || !f.body.contains("said") || !f.body["said"].is_object() ||
+      !f.body.contains("number") || !f.body["number"].is_number_unsigned())
+    return;
+  if (witnesses_.hold(f.name, f.identity, f.body["number"], f.body["said"], outside_.now()))
+    answer(f, "summary-held", Json::object());
+}
+
 std::string Node::any_peer() const {
   if (settings_.peers.empty()) return {};
   auto it = settings_.peers.begin();
@@ -629,6 +653,7 @@
   follow();
   heal();
   push_calls();
+  say_to_witnesses();
   for (auto it = followers_.begin(); it != followers_.end();)
     it = now - it->second.heard > kFollowerTime ? followers_.erase(it) : std::next(it);
 }
--- a/src/daemon/ledger/node.hpp
+++ b/src/daemon/ledger/node.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "core/audit/witness.hpp"
 #include "keeper.hpp"
 #include "stopwatch.hpp"
 
@@ -27,6 +28,7 @@
   std::size_t keepers = 3;                   ///< how many are to vote
   std::size_t followers = 64;                ///< that one router feeds
   Micros replace_after = 60'000'000;         ///< a keeper that is gone for so long gives way
+  std::size_t witnesses = 0;                 ///< others that hold what status() last said
   Pace pace;
 };
 
@@ -124,12 +126,14 @@
   void on_follow(const Frame& f);
   void on_feed(const Frame& f);
   void on_client(const Frame& f);
+  void on_summary(const Frame& f);
   Json found();
   // Time.
   void ask();
   void follow();
   void heal();
   bool give_way();
+  void say_to_witnesses();
   Json move(const Json& body);
   void push_calls();
   void try_call(std::uint64_t id, Pending& p);
@@ -146,10 +150,12 @@
 
   Stopwatch storage_;
   Json told_ = Json::object();
+  std::uint64_t summaries_ = 0;
   NodeSettings settings_;
   Outside& outside_;
   Meta meta_;
   View view_;
+  core::audit::Witnesses witnesses_;
   std::unique_ptr<Keeper> keeper_;
   std::map<std::uint64_t, Known> known_;  // identities heard of
   std::map<std::string, Follower> followers_;
--- a/src/daemon/ledger/service.cpp
+++ b/src/daemon/ledger/service.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr std::size_t kWitnesses = 2;  // where a trail is kept
 constexpr net::Micros kTick = 20'000;
 constexpr net::Micros kLook = 500'000;  // between two looks at what the router acts on
 constexpr char kOut[] = "out/";
@@ -47,7 +48,9 @@
 class Service::Outside final : public Node::Outside {
  public:
   Outside(Service& service, const core::config::Model& model)
-      : Outside(service, model.ledgers.begin()->second, model.peers, model.rollouts) {}
+      : Outside(service, model.ledgers.begin()->second, model.peers, model.rollouts) {
+    if (!model.audits.empty()) settings_.witnesses = kWitnesses;
+  }
   Outside(Service& service, const core::config::Ledger& settings,
           const std::map<std::string, core::config::Peer>& peers,
           const std::map<std::string, core::config::Rollout>& rollouts)
@@ -111,8 +114,11 @@
     if (io_.now() < next_look_) return;
     next_look_ = io_.now() + kLook;
     service_.to_router_.post([this] {
-      service_.to_ledger_->post([this, acts = service_.handler_.versions()] {
-        if (node_) node_->tell("acts", acts);
+      std::string trail = service_.handler_.trail ? service_.handler_.trail() : "";
+      service_.to_ledger_->post([this, acts = service_.handler_.versions(), trail] {
+        if (!node_) return;
+        node_->tell("acts", acts);
+        if (!trail.empty()) node_->tell("trail", trail);
       });
     });
   }
--- a/src/daemon/ledger/service.hpp
+++ b/src/daemon/ledger/service.hpp
@@ -25,6 +25,8 @@
     std::function<void(const std::string& event, const std::string& text)> note;
     /// What the router acts on, by kind: a digest or a name each.
     std::function<std::map<std::string, std::string>()> versions;
+    /// Where the router's trail stands; empty or none where it keeps none.
+    std::function<std::string()> trail;
     /// Puts a staged text in its file's place and acts on it; why not, empty where it does.
     std::function<std::string(RolledFile& file)> try_on;
   };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -118,6 +118,7 @@
       say(Log::Level::kInfo, event, text);
     };
     handler.versions = [this] { return versions(); };
+    handler.trail = [this] { return trail_ ? trail_->last() : std::string(); };
     handler.try_on = [this](violetusher::ledger::RolledFile& file) { return try_on(file); };
     ledger_ =
         std::make_unique<violetusher::ledger::Service>(base, model, name_, std::move(handler));
@@ -146,12 +147,16 @@
             say(Log::Level::kWarn, "audit-trail", "audit: " + text);
           });
         });
-    account_ = std::make_unique<violetusher::core::audit::Account>([this] { return versions(); },
-                                                                   [this](std::string body) {
-                                                                     if (trail_->gap_since_asked())
-                                                                       account_->say_all();
-                                                                     trail_->write(std::move(body));
-                                                                   });
+    auto acts_on = [this] {
+      auto all = versions();
+      all["operator"] = operator_digest_;
+      return all;
+    };
+    account_ =
+        std::make_unique<violetusher::core::audit::Account>(acts_on, [this](std::string body) {
+          if (trail_->gap_since_asked()) account_->say_all();
+          trail_->write(std::move(body));
+        });
     router_.keep_account(*account_, audit.every);
 #else
     (void)base;
@@ -197,13 +202,13 @@
   }
 
 #ifdef VIOLETUSHER_LEDGER
-  /// What the router acts on, by kind: a digest or a name each.
+  /// What the router acts on, by kind: a digest or a name each. Without the operator file, which
+  /// names each router's own folders.
   std::map<std::string, std::string> versions() const {
     std::string out;
     for (const std::string& id : router_.servers_out()) out += id + "\n";
     return {{"program", VIOLETUSHER_VERSION},
             {"settings", settings_digest_},
-            {"operator", operator_digest_},
             {"list", router_.list_version()},
             {"out", out.empty() ? "none" : violetusher::core::ledger::label(out)}};
   }
--- a/src/kit/audit/command.cpp
+++ b/src/kit/audit/command.cpp
@@ -1,6 +1,7 @@
 #include "command.hpp"
 
 #include <cstdio>
+#include <map>
 #include <memory>
 
 #include "core/audit/versions.hpp"
@@ -41,7 +42,45 @@
   return s;
 }
 
-Json json_of(const Audit& a) {
+/// What the others still hold of a router that says nothing itself.
+struct LastKnown {
+  std::string by;
+  core::audit::Micros age = 0;
+  Json said;
+};
+/// By router, and whether it is of a life that has ended: another disk has come under its name.
+using AllKnown = std::map<std::pair<std::string, bool>, LastKnown>;
+
+/// The youngest of each.
+AllKnown last_known(const std::vector<Said>& all) {
+  AllKnown out;
+  for (const Said& said : all) {
+    if (!said.status || !said.status->contains("witness")) continue;
+    for (const char* life : {"now", "former"}) {
+      const Json lives = (*said.status)["witness"].value(life, Json::object());
+      for (const auto& [router, held] : lives.items()) {
+        LastKnown known{said.router, held.value("age_us", core::audit::Micros{0}),
+                        held.value("said", Json::object())};
+        auto [at, fresh] = out.try_emplace({router, std::string(life) == "former"}, known);
+        if (known.age < at->second.age) at->second = std::move(known);
+      }
+    }
+  }
+  return out;
+}
+
+std::string text_of(const LastKnown& known) {
+  char age[64];
+  std::snprintf(age, sizeof age, "%.1f", static_cast<double>(known.age) / 1e6);
+  std::string text = std::string("last heard ") + age + " s ago by " + known.by + ":";
+  const Json acts = known.said.value("acts", Json::object());
+  for (const auto& [kind, content] : acts.items())
+    if (content.is_string()) text += " " + kind + " " + content.get<std::string>() + ",";
+  std::string trail = known.said.value("trail", "");
+  return text + (trail.empty() ? " no trail" : " trail up to " + trail);
+}
+
+Json json_of(const Audit& a, const AllKnown& known) {
   Json spreads = Json::object(), late = Json::array();
   for (const auto& spread : a.spreads)
     for (const auto& [version, routers] : spread.versions) spreads[spread.kind][version] = routers;
@@ -52,7 +91,18 @@
                     {"should", s.should},
                     {"cause", core::audit::name_of(s.cause)},
                     {"why", s.why}});
-  return {{"routers", a.routers}, {"current", a.current}, {"versions", spreads}, {"late", late}};
+  Json heard = Json::array();
+  for (const auto& [whose, k] : known)
+    heard.push_back({{"router", whose.first},
+                     {"former", whose.second},
+                     {"by", k.by},
+                     {"age_us", k.age},
+                     {"said", k.said}});
+  return {{"routers", a.routers},
+          {"current", a.current},
+          {"versions", spreads},
+          {"late", late},
+          {"heard", heard}};
 }
 
 void say(const Audit& a) {
@@ -79,15 +129,19 @@
     return kWrongInput;
   }
   std::vector<Sighting> sightings;
-  for (const Said& said : ask_each(*fleet)) {
+  std::vector<Said> all = ask_each(*fleet);
+  AllKnown known = last_known(all);
+  for (const Said& said : all) {
     Sighting silent;
     silent.router = said.router;
     silent.silent = said.error;
+    auto at = known.find({said.router, false});
+    if (!said.status && at != known.end()) silent.silent += "; " + text_of(at->second);
     sightings.push_back(said.status ? sighting_of(said.router, *said.status) : silent);
   }
   Audit a = core::audit::audit(sightings, kMayBeOld);
   if (o.json)
-    std::printf("%s\n", json_of(a).dump(1).c_str());
+    std::printf("%s\n", json_of(a, known).dump(1).c_str());
   else
     say(a);
   return a.stragglers.empty() ? kPass : kFail;
--- a/tests/daemon/ledger/service_test.cpp
+++ b/tests/daemon/ledger/service_test.cpp
@@ -73,13 +73,14 @@
   const std::string& ledger(int r) const { return ports_[static_cast<std::size_t>(r)]; }
   const std::string& calls(int r) const { return ports_[static_cast<std::size_t>(kRouters + r)]; }
 
-  void write(int r, const std::string& fleet) {
+  void write(int r, const std::string& fleet, bool trail = false) {
     std::ofstream operated(path(r, ".conf"));
     operated << "version 1;\nledger " << fleet << " { folder = \"" << path(r, ".ledger")
              << "\"; keep = on; replace_after = 3s; trust_after = 5s; }\n";
     for (int p = 0; p < kRouters; ++p)
       operated << "peer r" << p + 1 << " { address = \"" << ledger(p) << "\"; hall = h" << p % 3
                << "; }\n";
+    if (trail) operated << "audit all { folder = \"" << path(r, ".trail") << "\"; }\n";
     operated << "rollout operator { file = \"" << path(r, ".rolled") << "\"; spread = 100ms; }\n"
              << "include \"" << path(r, ".rolled") << "\";\n";
     std::ofstream(path(r, ".rolled")) << kOwnText;
@@ -356,5 +357,54 @@
   EXPECT_TRUE(eventually([&] { return tool("audit") == 0; }));
 }
 
+/// Of a machine that is lost with its disk others tell what it acted on and where its trail stood,
+/// also when one of those that held it is lost too.
+TEST_F(Daemons, OfALostMachineOthersTellWhatItActedOn) {
+  for (int r = 0; r < kRouters; ++r) write(r, "fleet", true);
+  found();
+  auto heard = [&](const std::string& router, bool former) {
+    testing::internal::CaptureStdout();
+    tool("audit", "--json");
+    Json told = Json::parse(testing::internal::GetCapturedStdout());
+    for (const Json& h : told["heard"])
+      if (h["router"] == router && h["former"] == former) return h;
+    return Json();
+  };
+  // Its trail's mark has come to others, and both that hold it have it.
+  Json own;
+  ASSERT_TRUE(eventually([&] {
+    own = status(1);
+    int held = 0;
+    for (int r = 0; r < kRouters; ++r) {
+      Json s = status(r);
+      held += own.contains("trail") && s["witness"]["now"].contains("r2") &&
+              s["witness"]["now"]["r2"]["said"]["trail"] == own["trail"];
+    }
+    return held == 2;
+  })) << status(1).dump(1);
+  kill(1);
+  fs::remove_all(path(1, ".ledger"));
+  fs::remove_all(path(1, ".trail"));
+  Json lost = heard("r2", false);
+  ASSERT_TRUE(lost.is_object());
+  EXPECT_EQ(lost["said"]["trail"], own["trail"]);
+  EXPECT_EQ(lost["said"]["acts"], own["acts"]);
+  EXPECT_LT(lost["age_us"], kWithinS * 1'000'000);
+  std::string by = lost["by"];
+  kill(by[1] - '1');
+  lost = heard("r2", false);
+  ASSERT_TRUE(lost.is_object());
+  EXPECT_EQ(lost["said"]["trail"], own["trail"]);
+  EXPECT_NE(lost["by"], by);
+  // Another machine under its name does not wipe out what the first had said.
+  start(by[1] - '1');
+  start(1);
+  EXPECT_TRUE(eventually([&] {
+    Json former = heard("r2", true), now = heard("r2", false);
+    return former.is_object() && former["said"]["trail"] == own["trail"] && now.is_object() &&
+           now["age_us"] < 10'000'000;
+  }));
+}
+
 }  // namespace
 }  // namespace violetusher::ledger
