`trail late` says why a router was late as far as trails tell, `trail router` shows one router

From the trails: it ran all the time and acted on another version (which), its process began only later or its trail ended before (down), or its trail lacks some of the time (unknown). What held a change up on its way to a router that ran, trails don't tell; that stays open. A question that no trail answers says so.

--- a/src/core/audit/history.cpp
+++ b/src/core/audit/history.cpp
@@ -50,7 +50,7 @@
 
   void process_began() {
     close(last_, true);
-    judged_ = false, view_ = 0;
+    judged_ = false, view_ = 0, view_began_ = true;
     serving_.clear();
     seen_.clear();
   }
@@ -79,7 +79,8 @@
     for (const std::string& id : b.value("out", std::vector<std::string>())) serving_.erase(id);
     view_ = number;
     last_ = std::max(last_, at);
-    span_ = Span{router_, number, at, at, true, std::move(versions), {}, {}};
+    span_ = Span{router_, number, at, at, true, view_began_, std::move(versions), {}, {}};
+    view_began_ = false;
   }
 
   void did(const Json& b) {
@@ -113,9 +114,15 @@
   std::map<std::uint64_t, Account::Versions> seen_;  // of this process
   std::uint64_t view_ = 0, next_ = 0;
   Micros last_ = 0;
-  bool judged_ = false;  // what the router served is known
+  bool view_began_ = false;  // the next view is the first of its process
+  bool judged_ = false;      // what the router served is known
 };
 
+std::string_view name_of(Arrival::Why why) {
+  constexpr std::string_view kNames[] = {"first", "acted-on-another", "down", "unknown"};
+  return kNames[static_cast<int>(why)];
+}
+
 std::uint64_t Span::attempts() const {
   std::uint64_t sum = 0;
   for (const auto& [server, types] : sent)
@@ -141,6 +148,38 @@
   return found;
 }
 
+std::vector<const Span*> History::of(const std::string& router) const {
+  std::vector<const Span*> found;
+  for (const Span& s : spans_)
+    if (s.router == router) found.push_back(&s);
+  return found;
+}
+
+void History::explain(Arrival& a, const std::string& kind, const std::string& content,
+                      Micros begin) const {
+  if (!a.never && a.after == 0) return;
+  Micros end = a.never ? a.last_known : begin + a.after;
+  bool before = false, began = false;  // it ran before; it came with a process that began
+  for (const Span* s : of(a.router)) {
+    auto v = s->versions.find(kind);
+    if (v == s->versions.end()) continue;
+    if (v->second == content) {
+      began = s->first;
+      break;
+    }
+    before = true;
+    a.had = v->second;
+  }
+  bool unknown = std::any_of(unknown_.begin(), unknown_.end(), [&](const Unknown& u) {
+    return u.router == a.router && u.from <= end && u.to >= begin;
+  });
+  // One whose trail ends before anybody had the version was not there to get it.
+  bool gone = a.never && a.last_known < begin;
+  a.why = began || gone || !before ? Arrival::Why::kDown
+          : unknown                ? Arrival::Why::kUnknown
+                                   : Arrival::Why::kActs;
+}
+
 std::vector<const Span*> History::at(Micros time) const {
   std::map<std::string, const Span*> found;
   for (const Span& s : spans_)
@@ -161,8 +200,14 @@
   for (const std::string& router : routers_) {
     auto at = first.find(router);
     auto known = last_known_.find(router);
-    out.push_back({router, at == first.end() ? 0 : at->second - begin, at == first.end(),
-                   known == last_known_.end() ? 0 : known->second});
+    Arrival a{router,
+              at == first.end() ? 0 : at->second - begin,
+              at == first.end(),
+              known == last_known_.end() ? 0 : known->second,
+              Arrival::Why::kFirst,
+              {}};
+    explain(a, kind, content, begin);
+    out.push_back(std::move(a));
   }
   std::stable_sort(out.begin(), out.end(), [](const Arrival& a, const Arrival& b) {
     return std::make_pair(a.never, a.after) > std::make_pair(b.never, b.after);
--- a/src/core/audit/history.hpp
+++ b/src/core/audit/history.hpp
@@ -19,7 +19,8 @@
   std::string router;
   std::uint64_t view = 0;  ///< of that process; another process counts anew
   Micros from = 0, to = 0;
-  bool open = false;  ///< `to` is only the last that is known of it
+  bool open = false;   ///< `to` is only the last that is known of it
+  bool first = false;  ///< of its process
   Account::Versions versions;
   std::map<std::string, std::map<std::string, std::uint64_t>> sent;  ///< attempts, server and class
   std::map<std::string, std::uint64_t> refused;                      ///< by class
@@ -45,13 +46,22 @@
   std::uint64_t attempts = 0;  ///< known of, under a view that is not
 };
 
-/// How a version came to the routers.
+/// How a version came to a router.
 struct Arrival {
+  enum class Why {
+    kFirst,    ///< nobody had it before
+    kActs,     ///< ran all the time, and acted on another one until then
+    kDown,     ///< its process began only then, or no process of it ran at the end
+    kUnknown,  ///< its trail lacks some of the time
+  };
   std::string router;
   Micros after = 0;       ///< since the first router had it
   bool never = false;     ///< as far as its trail goes
   Micros last_known = 0;  ///< of the router at all
+  Why why = Why::kFirst;
+  std::string had;  ///< what it acted on last before it
 };
+std::string_view name_of(Arrival::Why why);
 
 class History {
  public:
@@ -65,13 +75,17 @@
 
   /// Spans under that version, in the order of their beginnings.
   std::vector<const Span*> who(const std::string& kind, const std::string& content) const;
+  /// All of one router.
+  std::vector<const Span*> of(const std::string& router) const;
   /// The span of each router that holds the moment; none for those of which it is not known.
   std::vector<const Span*> at(Micros time) const;
-  /// When each router first had it, the last ones first; those that never had it before them.
+  /// When each router first had it, the last ones first; those that never had it before them. Of
+  /// those that are late, why, as far as trails tell: what stopped a change on its way they don't.
   std::vector<Arrival> arrivals(const std::string& kind, const std::string& content) const;
 
  private:
   class Walk;
+  void explain(Arrival& a, const std::string& kind, const std::string& content, Micros begin) const;
 
   std::vector<Span> spans_;
   std::vector<Violation> violations_;
--- a/src/kit/audit/trail_command.cpp
+++ b/src/kit/audit/trail_command.cpp
@@ -102,6 +102,7 @@
       say(*s, versions);
   }
   if (o.json) std::printf("%s\n", all.dump(1).c_str());
+  if (spans.empty()) std::fprintf(stderr, "violetusher-kit: no trail tells of that\n");
   return spans.empty() ? kFail : kPass;
 }
 
@@ -184,13 +185,18 @@
     all.push_back({{"router", a.router},
                    {"never", a.never},
                    {"after", a.after},
-                   {"last_known", a.last_known}});
+                   {"last_known", a.last_known},
+                   {"why", name_of(a.why)},
+                   {"had", a.had}});
     if (o.json) continue;
-    if (a.never)
-      std::printf("  %s: never, known until %s\n", a.router.c_str(),
-                  time_text(a.last_known).c_str());
-    else
-      std::printf("  %s: after %.3f s\n", a.router.c_str(), static_cast<double>(a.after) / kSecond);
+    std::string when = "never, known until " + time_text(a.last_known);
+    if (!a.never) {
+      char text[64];
+      std::snprintf(text, sizeof text, "after %.3f s", static_cast<double>(a.after) / kSecond);
+      when = text;
+    }
+    std::printf("  %s: %s, %s%s%s\n", a.router.c_str(), when.c_str(),
+                std::string(name_of(a.why)).c_str(), a.had.empty() ? "" : ", had ", a.had.c_str());
   }
   if (o.json) std::printf("%s\n", Json({{"within", parts}, {"routers", all}}).dump(1).c_str());
   return times.size() == arrivals.size() ? kPass : kFail;
@@ -305,6 +311,14 @@
       code = ask(*o, [&](Trails& t) { return say_all(t.history.at(*time), *o, true); });
     });
   }
+  {
+    auto [sub, o] = add("router", "What one router acted on from when to when, and how much");
+    sub->add_option("name", o->version, "its name")->required();
+    folders(sub, o);
+    sub->callback([o = o, &code] {
+      code = ask(*o, [&](Trails& t) { return say_all(t.history.of(o->version), *o, true); });
+    });
+  }
   {
     auto [sub, o] =
         add("late", "How long a version took to reach the routers, the last ones first");
--- a/tests/core/audit/history_test.cpp
+++ b/tests/core/audit/history_test.cpp
@@ -136,6 +136,45 @@
   EXPECT_EQ(arrivals[2].router, "r1");
 }
 
+/// Each cause of being late that trails can tell is told as that one.
+TEST(History, WhyARouterIsLate) {
+  Router fast("r1"), acted("r2"), restarted("r3"), spoilt("r4"), gone("r5"), never("r6");
+  Router* all[] = {&fast, &acted, &restarted, &spoilt, &gone, &never};
+  for (Router* r : all) r->account.changed(1000);
+  fast.versions["list"] = "2";
+  fast.account.changed(2000);
+  acted.versions["list"] = "2";
+  acted.account.changed(3000);
+  restarted.write(head_of("r3", {}, "start"));
+  Account fresh(
+      [] {
+        return Account::Versions{{"list", "2"}};
+      },
+      [&](const std::string& body) { restarted.write(body); });
+  fresh.changed(4000);
+  spoilt.write(R"({"k":"gap","from":1500,"to":4500,"blocks":3,"why":"full"})");
+  spoilt.account.say_all();
+  spoilt.versions["list"] = "2";
+  spoilt.account.changed(5000);
+  never.account.refused("read");
+  never.account.tick(6000);
+  History h;
+  for (const Router* r : all) h.add(r->trail);
+  std::map<std::string, Arrival> by;
+  for (const Arrival& a : h.arrivals("list", "2")) by[a.router] = a;
+  EXPECT_EQ(by["r1"].why, Arrival::Why::kFirst);
+  EXPECT_EQ(by["r2"].why, Arrival::Why::kActs);
+  EXPECT_EQ(by["r2"].had, "1");
+  EXPECT_EQ(by["r3"].why, Arrival::Why::kDown);
+  EXPECT_EQ(by["r3"].after, 2000);
+  EXPECT_EQ(by["r4"].why, Arrival::Why::kUnknown);
+  EXPECT_EQ(by["r5"].why, Arrival::Why::kDown);
+  EXPECT_TRUE(by["r5"].never);
+  EXPECT_EQ(by["r6"].why, Arrival::Why::kActs);
+  EXPECT_TRUE(by["r6"].never);
+  EXPECT_EQ(h.of("r3").size(), 2u);
+}
+
 /// Blocks come from a disk: bodies of any shape are nothing worse than unknown.
 TEST(History, BodiesOfAnyShapeAreRead) {
   const char* bodies[] = {"{}",
--- a/tests/daemon/audit/trail_files_test.cpp
+++ b/tests/daemon/audit/trail_files_test.cpp
@@ -266,6 +266,7 @@
   ASSERT_EQ(arrivals.size(), 3u);
   EXPECT_TRUE(arrivals[0].never);
   EXPECT_EQ(arrivals[0].router, "r3");
+  EXPECT_EQ(arrivals[0].why, core::audit::Arrival::Why::kActs);
   EXPECT_FALSE(arrivals[1].never);
   for (int r = 0; r < kRouters; ++r) EXPECT_TRUE(read_trail(path(r, "")).faults.empty()) << r;
 }
