Take an unread time out of what waits for the trail's disk

Need: TrailFiles::Pending kept when each block came, and nobody read it; the clock was read for every block. The queue holds the bodies alone, and the clock is read for lost ones only.

--- a/src/daemon/audit/trail_files.cpp
+++ b/src/daemon/audit/trail_files.cpp
@@ -107,15 +107,15 @@
 
 void TrailFiles::write(std::string body) {
   std::lock_guard guard(mutex_);
-  Micros now = wall();
   if (queued_ + body.size() > kMostPending) {
+    Micros now = wall();
     if (lost_++ == 0) lost_from_ = now;
     lost_to_ = now;
     gap_ = true;
     return;
   }
   queued_ += body.size();
-  queue_.push_back({std::move(body), now});
+  queue_.push_back(std::move(body));
   wake_.notify_all();
 }
 
@@ -131,7 +131,7 @@
 }
 
 void TrailFiles::run() {
-  std::deque<Pending> batch;
+  std::deque<std::string> batch;
   Micros pause = kRetry;
   std::unique_lock lock(mutex_);
   while (true) {
@@ -139,13 +139,12 @@
     batch.swap(queue_);
     std::uint64_t lost = std::exchange(lost_, 0);
     if (lost)
-      batch.push_back({Json({{"k", "gap"},
-                             {"from", lost_from_},
-                             {"to", lost_to_},
-                             {"blocks", lost},
-                             {"why", failing_.empty() ? "more than the disk takes" : failing_}})
-                           .dump(-1, ' ', false, Json::error_handler_t::replace),
-                       lost_to_});
+      batch.push_back(Json({{"k", "gap"},
+                            {"from", lost_from_},
+                            {"to", lost_to_},
+                            {"blocks", lost},
+                            {"why", failing_.empty() ? "more than the disk takes" : failing_}})
+                          .dump(-1, ' ', false, Json::error_handler_t::replace));
     lock.unlock();
     std::string wrong = put(batch);
     if (wrong != failing_) {
@@ -159,7 +158,7 @@
                   std::make_move_iterator(batch.end()));
     batch.clear();
     queued_ = 0;
-    for (const Pending& p : queue_) queued_ += p.body.size();
+    for (const std::string& body : queue_) queued_ += body.size();
     if (stopping_ && (queue_.empty() || !wrong.empty())) return;
     pause = wrong.empty() ? kRetry : std::min(2 * pause, kMostRetry);
     if (!wrong.empty())
@@ -167,14 +166,14 @@
   }
 }
 
-std::string TrailFiles::put(std::deque<Pending>& batch) {
+std::string TrailFiles::put(std::deque<std::string>& batch) {
   std::string wrong;
   while (!batch.empty() && wrong.empty()) {
-    auto bytes = static_cast<std::int64_t>(batch.front().body.size());
+    auto bytes = static_cast<std::int64_t>(batch.front().size());
     wrong = open(bytes);
     if (!wrong.empty()) break;
     core::audit::Mark next = last_;
-    wrong = append(line_of(next, batch.front().body));
+    wrong = append(line_of(next, batch.front()));
     if (!wrong.empty()) break;
     last_ = next;
     batch.pop_front();
--- a/src/daemon/audit/trail_files.hpp
+++ b/src/daemon/audit/trail_files.hpp
@@ -55,13 +55,9 @@
   bool gap_since_asked();
 
  private:
-  struct Pending {
-    std::string body;
-    Micros at = 0;
-  };
   void run();
   /// Writes from the front of `batch` what the disk takes. Why not all; empty where it took all.
-  std::string put(std::deque<Pending>& batch);
+  std::string put(std::deque<std::string>& batch);
   std::string open(std::int64_t bytes);
   std::string append(const std::string& line);
   std::string find_end();
@@ -79,7 +75,7 @@
   // Shared.
   std::mutex mutex_;
   std::condition_variable wake_;
-  std::deque<Pending> queue_;
+  std::deque<std::string> queue_;
   std::size_t queued_ = 0;  // bytes
   std::uint64_t lost_ = 0;  // blocks, between the two times
   Micros lost_from_ = 0, lost_to_ = 0;
