--- a/src/core/membership/terms.cpp
+++ b/src/core/membership/terms.cpp
@@ -28,14 +28,15 @@
 }
 
 Terms terms_pushed(Micros drain_grace) {
-  // Half of the grace in a watch, a quarter for its answer, an eighth before the next, times 1.5 at
-  // most. Under 10 ms it would be a busy loop, over a second nothing is gained.
-  Micros eighth = std::clamp(drain_grace / 8, 10 * kMillisecond, kSecond / 4);
+  // Of the grace six sixteenths in a watch, three for its answer, two before the next call, times
+  // 1.5 at most: a quarter is left. Under 5 ms it would be a busy loop, beyond 2 s of grace nothing
+  // is gained.
+  Micros sixteenth = std::clamp(drain_grace / 16, 5 * kMillisecond, kSecond / 8);
   Terms t;
-  t.wait = 4 * eighth;
-  t.limit = 2 * eighth;
-  t.pause = eighth;
-  t.pause_most = eighth;
+  t.wait = 6 * sixteenth;
+  t.limit = 3 * sixteenth;
+  t.pause = 2 * sixteenth;
+  t.pause_most = t.pause;
   t.insists = true;
   return t;
 }
--- a/src/core/ops/figures.cpp
+++ b/src/core/ops/figures.cpp
@@ -28,6 +28,7 @@
   all["concurrent"] = now.concurrent;
   all["targets"] = now.targets;
   all["targets_disabled"] = now.targets_disabled;
+  all["list_age_ms"] = now.list_age_ms;
   all["reload_success"] = reload_success_;
   all["reload_failure"] = reload_failure_;
   return all.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
--- a/src/core/ops/figures.hpp
+++ b/src/core/ops/figures.hpp
@@ -16,6 +16,7 @@
     std::size_t targets = 0;           ///< cache servers on the list
     std::size_t targets_disabled = 0;  ///< of them, those that the router avoids
     std::uint64_t dispatches = 0;      ///< attempts written whole
+    std::int64_t list_age_ms = 0;      ///< since discovery last showed what the list is
   };
 
   /// A class is reported from here on, with zeros before its first request. Classes that settings
--- a/src/daemon/ledger/node.cpp
+++ b/src/daemon/ledger/node.cpp
@@ -27,7 +27,7 @@
 constexpr Micros kMoveTime = 20 * kSecond;
 constexpr std::uint64_t kNearly = 64;  // entries behind
 constexpr std::size_t kAskMore = 8;
-constexpr std::size_t kMostKnown = 256, kMostHellos = 64, kMostNames = 8;
+constexpr std::size_t kMostKnown = 2048, kMostHellos = 1024, kMostNames = 8;
 
 std::uint64_t number(const Json& v, const char* key) {
   auto it = v.find(key);
--- a/src/kit/rehearse/day.cpp
+++ b/src/kit/rehearse/day.cpp
@@ -142,6 +142,8 @@
   f.silent_notice = t.duration("silent_notice", f.silent_notice);
   f.calls_per_s = t.rate("calls", f.calls_per_s);
   f.call_limit = t.duration("call_limit", f.call_limit);
+  f.pushed = t.flag("pushed", f.pushed);
+  f.ask_within = t.duration("ask_within", f.ask_within);
   t.finish();
 }
 
@@ -447,6 +449,9 @@
         break;
       case FaultKind::kDiscoveryDown:
       case FaultKind::kDiscoveryLate:
+      case FaultKind::kDiscoverySilent:
+      case FaultKind::kDiscoveryReset:
+      case FaultKind::kDiscoverySlow:
         break;
       default:
         f.servers = servers_of(e, day, f.from, told);
--- a/src/kit/rehearse/oracle.cpp
+++ b/src/kit/rehearse/oracle.cpp
@@ -190,6 +190,9 @@
     // By router and price cache, what discovery had told at which time.
     std::map<std::pair<int, int>, std::vector<const kit::ToldRecord*>> told;
     for (const auto& t : history_.told) told[{t.router, t.server}].push_back(&t);
+    for (auto& [who, list] : told)  // what counts as told without having arrived is written late
+      std::stable_sort(list.begin(), list.end(),
+                       [](const auto* a, const auto* b) { return a->at < b->at; });
     Micros grace = day_.expect.drain_grace + kOrderSlack;
     for (const auto& a : history_.attempts) {
       if (a.router < 0 || a.router >= routers_) continue;
--- a/src/kit/standin/discovery.hpp
+++ b/src/kit/standin/discovery.hpp
@@ -13,6 +13,7 @@
 #include "kit/common/history.hpp"
 #include "kit/common/loop.hpp"
 #include "spec.hpp"
+#include "told.hpp"
 
 namespace violetusher::standin {
 
@@ -33,8 +34,14 @@
   std::string address(int router) const;
   /// Adds or changes an entry: what watches see from now on.
   void publish(const Entry& entry);
-  /// Down: every call fails and watches end.
+  /// Down: every call fails and watches end. Agents fall silent instead, and answer at the return.
   void set_down(bool down);
+  /// The watches that are open say nothing more, and stay open.
+  void silence_watches();
+  /// The watches that are open are ended.
+  void reset_watches();
+  /// Each call that is asked for takes so much longer.
+  void slow_by(Micros delay) { delay_ = delay; }
   bool down() const { return down_; }
   /// The whole list as JSON.
   std::string whole(int router) const;
@@ -53,6 +60,7 @@
     Micros came = 0, until = 0;
     std::uint64_t index = 0;
     bool watch = false;
+    bool silent = false;
   };
   struct Held {
     Entry entry;
@@ -61,6 +69,9 @@
   static void on_call(evhttp_request* request, void* door);
   static void on_closed(evhttp_connection* connection, void* self);
   void serve();
+  void take(const Call& call);
+  void tick();
+  void count_watches(int router);
   void answer(const Call& call);
   void fail(const Call& call);
   void reply(evhttp_request* request, int code, const std::string& body);
@@ -69,12 +80,14 @@
 
   kit::Loop& loop_;
   const FleetSpec& spec_;
-  kit::History& history_;
+  ToldAccount told_;
   std::vector<std::unique_ptr<Door>> doors_;
   std::vector<Held> held_;
-  std::deque<Call> queue_;  // in turn
-  std::list<Call> watches_;
+  std::deque<Call> queue_;   // in turn
+  std::list<Call> watches_;  // silent ones and, of agents while discovery is down, all calls too
   std::uint64_t version_ = 1, calls_ = 0;
+  std::vector<Entry> unheard_;  // what agents learn at discovery's return
+  Micros delay_ = 0;
   bool down_ = false, serving_ = false;
 };
 
--- a/src/kit/standin/spec.hpp
+++ b/src/kit/standin/spec.hpp
@@ -58,6 +58,8 @@
   Micros silent_notice = 6'000'000;  ///< until a machine that says nothing does
   double calls_per_s = 20;           ///< one service for all routers, calls in turn
   Micros call_limit = 3'000'000;     ///< a call that waited longer fails
+  bool pushed = false;  ///< each router has an agent of its own; calls cost nothing and never wait
+  Micros ask_within = 10'000'000;  ///< a router without a watch asks so often, as settings tell it
 };
 
 enum class FaultKind {
@@ -81,7 +83,10 @@
   kReplaced,     ///< dies, and a cold one under a new id is at its address `delay` later
   kReportsLate,  ///< load reports are `delay` older
   kDiscoveryDown,
-  kDiscoveryLate,  ///< changes show `delay` later
+  kDiscoveryLate,    ///< changes show `delay` later
+  kDiscoverySilent,  ///< the watches that are open at `from` say nothing more, and stay open
+  kDiscoveryReset,   ///< the watches that are open at `from` are ended
+  kDiscoverySlow,    ///< each call takes `delay` longer, where lists are asked for
 };
 
 /// Names as a day file has them.
--- a/src/net/peers.hpp
+++ b/src/net/peers.hpp
@@ -20,7 +20,7 @@
  public:
   static constexpr std::size_t kMostFrame = 8u << 20;     ///< bytes
   static constexpr std::size_t kMostWaiting = 16u << 20;  ///< bytes that wait for one router
-  static constexpr std::size_t kMostCallers = 512;  ///< connections that came; the oldest goes
+  static constexpr std::size_t kMostCallers = 1024;  ///< connections that came; the oldest goes
   static constexpr std::size_t kHead = 12;
 
   /// A frame that has come. `link` names its connection, for reply().
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -217,6 +217,7 @@
   now.concurrent = core_.unanswered();
   now.dispatches = servers_.written();
   now.targets = operations_.hosts().size();
+  now.list_age_ms = discovery_.age() / kMillisecond;
   const violetusher::Balancer& whole = *pools_.find(PoolSet::kWhole)->balancer;
   operations_.hosts().each([&](const Host& host) {
     now.targets_disabled += host.server.health != violetusher::Health::Ready ||
--- a/tests/kit/rehearse/play_test.cpp
+++ b/tests/kit/rehearse/play_test.cpp
@@ -146,6 +146,27 @@
   EXPECT_GT(r.json["requests"]["served"], 1000) << r.text;
 }
 
+std::string shipped_day(const std::string& name) {
+  std::ifstream file(std::string(VIOLETUSHER_DAYS) + "/" + name);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str() + kWideRig;
+}
+
+/// A watch falls silent while a price cache begins to drain and stays up. What it missed counts as
+/// told whether or not it arrived.
+TEST(SilentWatch, GivenTooMuchTimeIsFoundOutByName) {
+  PlayResult r = play_day(shipped_day("watch-silent.toml"), VIOLETUSHER_SABOTEUR, "deaf-watch");
+  EXPECT_EQ(r.code, 1) << r.text;
+  ASSERT_TRUE(r.json.contains("broken")) << r.text;
+  EXPECT_TRUE(r.json["broken"].contains("drains-kept")) << r.text;
+}
+
+TEST(SilentWatch, IsMadeUpForByTheRealRouter) {
+  PlayResult r = play_day(shipped_day("watch-silent.toml"), VIOLETUSHER_PROGRAM);
+  EXPECT_EQ(r.code, 0) << r.text;
+}
+
 std::string short_day(const std::string& more) {
   return std::string(R"(
 name = "short"
