--- a/tests/core/audit/trail_test.cpp
+++ b/tests/core/audit/trail_test.cpp
@@ -121,6 +121,40 @@
   EXPECT_EQ(rewritten.faults[0].kind, Fault::Kind::kForeign);
 }
 
+/// What others hold finds what the trail's own sums can't: an end that is gone, and a trail that
+/// was written anew with sums of its own.
+TEST(Trail, IsHeldAgainstWhatOthersHold) {
+  Written w = written(6);
+  std::vector<Mark> marks;
+  Mark mark;
+  for (const auto& [number, body] : w.bodies) {
+    line_of(mark, body);
+    marks.push_back(mark);
+  }
+  Trail whole = read({w.text}),
+        cut = read({w.text.substr(0, w.text.size() - w.lines.back().size())});
+  EXPECT_TRUE(cut.faults.empty());
+  for (const Mark& m : marks) {
+    ASSERT_EQ(mark_of(text_of(m))->sum, m.sum);
+    EXPECT_FALSE(against(whole, m)) << m.number;
+  }
+  ASSERT_TRUE(against(cut, marks.back()));
+  EXPECT_EQ(against(cut, marks.back())->kind, Fault::Kind::kCut);
+  Written anew;
+  for (const auto& [number, body] : w.bodies)
+    anew.text += line_of(anew.last, number == 4 ? R"({"k":"did","n":99})" : body);
+  Trail forged = read({anew.text});
+  EXPECT_TRUE(forged.faults.empty());
+  EXPECT_FALSE(against(forged, marks[2]));
+  ASSERT_TRUE(against(forged, marks[5]));
+  EXPECT_EQ(against(forged, marks[5])->kind, Fault::Kind::kRewritten);
+  // The oldest files go; what is not there is not in doubt.
+  EXPECT_FALSE(against(read({written(2, w.last).text}), marks[2]));
+  for (const char* none : {"", ":", "1", "0:0000000000000000", "1:0", "x:0000000000000001",
+                           "1:000000000000000G", "1:0000000000000001 "})
+    EXPECT_FALSE(mark_of(none)) << none;
+}
+
 TEST(Trail, AnyBytesAreRead) {
   Written w = written(2);
   for (const char* text : {"", "\n", "\n\n\n", "0 1 {}\n", "0000000000000000 1 {}\n",
--- a/tests/daemon/ledger/service_test.cpp
+++ b/tests/daemon/ledger/service_test.cpp
@@ -17,6 +17,7 @@
 #include <thread>
 
 #include "../../net/net_support.hpp"
+#include "daemon/audit/trail_files.hpp"
 #include "kit/audit/command.hpp"
 #include "kit/ledger/client.hpp"
 #include "kit/ledger/command.hpp"
@@ -178,6 +179,17 @@
     app.parse(call + " " + path(0, ".conf") + " " + more);
     return code;
   }
+  int trail(const std::string& call, const std::string& more) {
+    CLI::App app;
+    int code = -1;
+    kit::add_trail(app, code);
+    app.parse("trail " + call + " " + more);
+    return code;
+  }
+  static std::string read_file(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
   std::string text_file(const std::string& text) {
     std::string file = folder_ + "/text" + std::to_string(++texts_);
     std::ofstream(file) << text;
@@ -383,7 +395,13 @@
     return held == 2;
   })) << status(1).dump(1);
   kill(1);
+  EXPECT_EQ(trail("check", path(1, ".trail") + " --fleet " + path(0, ".conf")), 0);
   fs::remove_all(path(1, ".ledger"));
+  // Last week's copy of a trail is whole in itself, and not what others know of it.
+  for (const std::string& file : audit::trail_files(path(1, ".trail")))
+    fs::resize_file(file, read_file(file).find('\n') + 1);
+  EXPECT_EQ(trail("check", path(1, ".trail")), 0);
+  EXPECT_EQ(trail("check", path(1, ".trail") + " --fleet " + path(0, ".conf")), 1);
   fs::remove_all(path(1, ".trail"));
   Json lost = heard("r2", false);
   ASSERT_TRUE(lost.is_object());
