Keep calls' places in discovery's queue, pauses steady, and no watch let go without proof

Ruled out: silent watches (none was open yet), the send path (requests stop with the list).

A move asks twice. Recycled left the module for a header.

Tests: WhatDiscoveryHasAtItsReturnIsKnownBeforeItCountsAsTold, ASilentWatchIsMadeUpFor..., ASilentOlderWatchProvesNothingOfTheNewer, NoCallIsGivenUpWhileDiscoveryAnswers.

--- a/src/core/membership/calls.cpp
+++ b/src/core/membership/calls.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr Micros kSecond = 1'000'000;
-// The wait of the first call of a watch.
-constexpr Micros kAtOnce = 1000;
+// A watch that has not ended with its wait is kept for so long beside the call that brings what it
+// missed.
+constexpr Micros kKeepOverdue = 3 * kSecond;
 // Whole lists in a row, each asked for anew, that are older than what is held, after which
 // discovery is taken to count from anew, as one that was restored does.
 constexpr int kOlderBelieved = 3;
@@ -17,7 +18,10 @@
 constexpr Micros kConfirm = 30 * kSecond;
 constexpr int kMostDoublings = 8;
 // Single fetches: an answer has this long, whatever watches are given, and so many are tried.
-constexpr Micros kFetchLimit = 2 * kSecond;
+constexpr Micros kFetchLimit = 3 * kSecond + kSecond / 2;
+// The list of a discovery that has just been moved to counts as told in 4 s, and the first call may
+// be lost: after this a second one is made beside it, which may wait for its turn meanwhile.
+constexpr Micros kDoubleWhole = 2 * kSecond;
 constexpr int kFetchTries = 5;
 // After so many failures in a row a router that insists also asks with kFetchLimit, as an agent
 // that is slow would else never be heard.
@@ -52,11 +56,20 @@
 void Calls::open(Place place, Micros now, Micros wait) {
   Call& call = calls_[place];
   if (index_.empty() || place == kFetch) wait = 0;
+  // Nor are those that end in silence to be made up for together.
+  if (wait > kAtOnce) wait = drawn(wait - (terms_.renew_to - terms_.renew_from), wait);
   call.out = true;
+  call.overdue = false;
   call.began = now;
-  call.ends = now + wait + (place == kFetch ? kFetchLimit : terms_.limit);
-  call.renew =
-      wait > kAtOnce && terms_.renew_to > 0 ? now + drawn(terms_.renew_from, terms_.renew_to) : 0;
+  call.wait = wait;
+  call.ends = now + wait +
+              (place == kFetch  ? kFetchLimit
+               : wait > kAtOnce ? terms_.limit
+                                : terms_.limit_at_once);
+  call.renew = 0;
+  if (wait > kAtOnce && terms_.renew_to > 0)
+    call.renew = now + drawn(terms_.renew_from, terms_.renew_to);
+  if (index_.empty() && place != kFetch && !terms_.insists) call.renew = now + kDoubleWhole;
   call.lists = lists_;
   ++made_;
   port_.start(place, place == kFetch ? std::string() : index_, wait);
@@ -68,12 +81,18 @@
   port_.drop(place);
 }
 
-void Calls::watch(Micros now) {
-  drop(kWatch0);
-  drop(kWatch1);
+/// Another call of the watch, beside those that are out.
+void Calls::begin(Micros now, Micros wait) {
   retry_at_ = 0;
+  auto freer = [&](int a, int b) {
+    return calls_[a].out != calls_[b].out ? !calls_[a].out
+                                          : calls_[a].out && calls_[a].began < calls_[b].began;
+  };
   newest_ = kWatch0;
-  open(newest_, now, kAtOnce);
+  for (Place place : {kWatch1, kWatch2})
+    if (freer(place, newest_)) newest_ = place;
+  drop(newest_);
+  open(newest_, now, wait);
 }
 
 void Calls::fetch(Micros now) {
@@ -117,15 +136,14 @@
     if (++fetch_failures_ < kFetchTries) fetch_at_ = now + pause(fetch_failures_);
     return;
   }
-  Place other = place == kWatch0 ? kWatch1 : kWatch0;
-  if (place != newest_) {
-    // The newest goes on, or is to be tried again while this one was still good.
-    if (calls_[newest_].out || terms_.insists || retry_at_ == 0) return;
-    retry_at_ = 0;
-    port_.gave_up();
-  } else if (terms_.insists || calls_[other].out) {
+  if (place == newest_ && (terms_.insists || any_watch())) {
     retry(now);
-  } else {
+  } else if (calls_[newest_].out) {
+    // What ended an older one may have silenced the newest as well, and from here what that misses
+    // counts as told long before it is renewed.
+    if (calls_[newest_].wait > kAtOnce) watch(now);
+  } else if (!any_watch()) {
+    retry_at_ = 0;
     port_.gave_up();
   }
 }
@@ -161,7 +179,7 @@
   Take take = wanted ? judge(call, now, answer) : Take::kNo;
   // One that answers at once though nothing is new does not hold watches, and would be asked in a
   // busy loop.
-  Micros wait = call.ends - call.began - terms_.limit;
+  Micros wait = call.wait;
   bool idle = answer.version == held_ && call.lists == lists_ && wait > kAtOnce &&
               now - call.began < wait / 2;
   if (take != Take::kNo) ++lists_;
@@ -176,32 +194,42 @@
   heard_at_ = now;
   if (place == kFetch) return take;
   failures_ = 0;
-  if (place != newest_ && calls_[newest_].out) return take;  // it was let go, but not yet dropped
+  bool at_once = call.wait <= kAtOnce;
+  // What was out before may be silent, and has missed nothing that this one did not bring.
+  if (at_once)
+    for (Place other : {kWatch0, kWatch1, kWatch2})
+      if (calls_[other].out && calls_[other].began < call.began) drop(other);
+  bool later = place != newest_ && calls_[newest_].out;
+  if (later && !(at_once && calls_[newest_].wait <= kAtOnce)) return take;  // the newest goes on
   // The next call at once: a watch with gaps is a new one.
   newest_ = place;
   retry_at_ = idle ? now + kIdlePause : 0;
-  drop(place == kWatch0 ? kWatch1 : kWatch0);
   if (!idle) open(place, now, terms_.wait);
   return take;
 }
 
 void Calls::due(Micros now) {
-  for (Place place : {kWatch0, kWatch1, kFetch}) {
-    if (!calls_[place].out || now < calls_[place].ends) continue;
+  for (Place place : {kWatch0, kWatch1, kWatch2, kFetch}) {
+    Call& call = calls_[place];
+    if (!call.out || now < call.ends) continue;
+    if (call.wait > kAtOnce && !call.overdue && !terms_.insists) {
+      call.overdue = true;
+      call.ends = now + kKeepOverdue;
+      if (!calls_[newest_].out || calls_[newest_].wait > kAtOnce) watch(now);
+      continue;
+    }
     drop(place);
     lost(place, now);
   }
-  Call& newest = calls_[newest_];
-  Place other = newest_ == kWatch0 ? kWatch1 : kWatch0;
-  if (newest.out && calls_[other].out && now >= newest.began + terms_.overlap) drop(other);
-  if (newest.out && newest.renew > 0 && now >= newest.renew && !calls_[other].out) {
-    newest.renew = 0;
-    newest_ = other;
-    open(newest_, now, terms_.wait);
+  if (calls_[newest_].out && calls_[newest_].renew > 0 && now >= calls_[newest_].renew) {
+    calls_[newest_].renew = 0;
+    begin(now, terms_.wait);
   }
   if (retry_at_ > 0 && now >= retry_at_) {
     retry_at_ = 0;
-    open(newest_, now, terms_.wait);
+    bool silence = std::any_of(calls_.begin(), calls_.end(),
+                               [](const Call& call) { return call.out && call.overdue; });
+    open(newest_, now, silence ? kAtOnce : terms_.wait);
   }
   if (fetch_at_ > 0 && now >= fetch_at_) ask_whole(now);
 }
@@ -213,10 +241,7 @@
   };
   for (const Call& call : calls_)
     if (call.out) at(call.ends);
-  const Call& newest = calls_[newest_];
-  const Call& other = calls_[newest_ == kWatch0 ? kWatch1 : kWatch0];
-  if (newest.out && other.out) at(newest.began + terms_.overlap);
-  if (newest.out && !other.out) at(newest.renew);
+  if (calls_[newest_].out) at(calls_[newest_].renew);
   at(retry_at_);
   at(fetch_at_);
   return first;
--- a/src/core/membership/calls.hpp
+++ b/src/core/membership/calls.hpp
@@ -3,8 +3,10 @@
 // backwards; calls go out through Port.
 //
 // A watch may fall silent without an end, and that can't be told from one that waits. So a watch is
-// renewed by a second one beside it, and the older is let go once the newer must be known to
-// discovery: at no time does the router hang on a call of which it has no proof.
+// renewed by a second one beside it long before its wait is over, and the older goes on to its own
+// end: in quiet no call is given up, as that would start the clock by which what is missed counts
+// as told. An older one that has no end when it should shows silence, and the newer may be as
+// silent: a call that is answered at once brings what was missed, and only then are they let go.
 #pragma once
 
 #include <array>
@@ -38,8 +40,9 @@
 
 class Calls {
  public:
-  /// The two places of a watch, and the one of single fetches.
-  enum Place { kWatch0, kWatch1, kFetch, kPlaces };
+  /// The places of a watch (one that ends, one that waits, one that brings what they missed), and
+  /// the one of single fetches.
+  enum Place { kWatch0, kWatch1, kWatch2, kFetch, kPlaces };
 
   class Port {
    public:
@@ -56,9 +59,15 @@
   /// `held`: the version of the list that the router starts with. `seed`: of what is drawn.
   Calls(Port& port, const Terms& terms, const std::string& held, std::uint64_t seed);
 
-  /// Begins a watch, whatever was going on. The first call of it returns at once, so that it is
-  /// known that discovery answers.
-  void watch(Micros now);
+  /// Other terms from now on; false where they are the same. Calls that are out keep theirs.
+  bool use(const Terms& terms) {
+    if (terms == terms_) return false;
+    terms_ = terms;
+    return true;
+  }
+  /// Begins a watch. The first call of it returns at once, so that it is known that discovery
+  /// answers; watches that are out are let go then.
+  void watch(Micros now) { begin(now, kAtOnce); }
   /// Asks for the whole list, besides; a few times where that fails.
   void fetch(Micros now);
   /// Discovery is at another address: begins there with the whole list. What the versions there
@@ -82,13 +91,18 @@
   std::uint64_t made() const { return made_; }
 
  private:
+  // The wait of the first call of a watch.
+  static constexpr Micros kAtOnce = 1000;
   struct Call {
     bool out = false;
-    Micros began = 0, ends = 0, renew = 0;  // renew 0: never
-    std::uint64_t lists = 0;                // taken before it began
+    bool overdue = false;                             // its wait is over, and it has not ended
+    Micros began = 0, wait = 0, ends = 0, renew = 0;  // renew 0: never
+    std::uint64_t lists = 0;                          // taken before it began
   };
   Micros drawn(Micros from, Micros to);
   void open(Place place, Micros now, Micros wait);
+  void begin(Micros now, Micros wait);
+  bool any_watch() const { return calls_[0].out || calls_[1].out || calls_[2].out; }
   void ask_whole(Micros now);
   void drop(Place place);
   void lost(Place place, Micros now);
@@ -101,7 +115,7 @@
   std::string held_;   // the version in use, whatever discovery it came from
   std::string index_;  // what a watch names; empty: the whole list is asked for
   std::array<Call, kPlaces> calls_;
-  Place newest_ = kWatch0;  // of the two watches
+  Place newest_ = kWatch0;  // of the watches
   Micros retry_at_ = 0;     // the newest is begun again; 0: not
   Micros fetch_at_ = 0;     // the whole list is asked for (again); 0: not
   Micros heard_at_ = 0;
--- a/src/core/membership/terms.hpp
+++ b/src/core/membership/terms.hpp
@@ -15,22 +15,26 @@
   static constexpr Micros kAfterWait = 2'000'000;
   /// And what any call misses no sooner than this after it fell silent.
   static constexpr Micros kAfterSilence = 6'000'000;
+  /// After a call that failed, was refused or was given up, so long after discovery had it and
+  /// could be reached, whatever else is allowed.
+  static constexpr Micros kAfterFailure = 6'000'000;
 };
 
 /// How one router calls.
 struct Terms {
-  Micros wait = 0;   ///< that discovery is asked to hold a watch for
-  Micros limit = 0;  ///< a call that has no answer so long after its wait is given up
+  Micros wait = 0;           ///< that discovery is asked to hold a watch for
+  Micros limit = 0;          ///< a call that has no answer so long after its wait is given up
+  Micros limit_at_once = 0;  ///< the same of one that does not wait
   /// A further watch is begun beside one that has waited so long, drawn evenly between the two, so
   /// that routers whose watches began together do not renew them together. 0: never.
   Micros renew_from = 0, renew_to = 0;
-  /// The one before it is kept for so long, as the further one may still wait for its turn.
-  Micros overlap = 0;
   /// After a failed call the next comes after this, times 0.5 to 1.5, doubled with each failure in
   /// a row up to pause_most.
   Micros pause = 0, pause_most = 0;
   /// Whether this is to go on after failures of itself; else the module says when to watch again.
   bool insists = false;
+
+  bool operator==(const Terms&) const = default;
 };
 
 /// Where lists are asked for: discovery is one service for all routers, and each call costs it
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "violetusher/balancer.hpp"
+#include "violetusher/recycled.hpp"
 
 namespace violetusher {
 namespace {
@@ -101,11 +102,11 @@
 constexpr double kShedLeast = 0.4;  // the most and least worthy are refused at these multiples
 constexpr double kShedMost = 1.4;
 // List: how long after the start the first call may come, as part of ask_within, so that routers
-// started together do not call together; and the doubling pause after failed calls.
+// started together do not call together; and the mean pause after failed calls. It does not double:
+// 6 s after discovery is back all that it has counts as told, and a second try may have to fit in.
 constexpr double kAskSpread = 0.4;
-constexpr Micros kAskBackoff = kSecond;
+constexpr double kAskPause = kSecond;
 
-constexpr std::size_t kSpare = 128;        // entries of a table whose memory is kept for others
 constexpr double kRateSpan = 5;            // seconds over which rates fade
 constexpr Micros kRefresh = kSecond / 10;  // fleet-wide sums are renewed this often
 
@@ -137,33 +138,6 @@
   rate += gain * (failed - rate);
 }
 
-/// A table whose entries leave their memory to the next ones.
-template <typename T>
-class Recycled : public std::unordered_map<std::uint64_t, T> {
-  using Table = std::unordered_map<std::uint64_t, T>;
-
- public:
-  /// The entry of `key`, and whether it is new; a new one may hold what another has left.
-  std::pair<T&, bool> enter(std::uint64_t key) {
-    auto at = this->find(key);
-    if (at != this->end()) return {at->second, false};
-    if (spare_.empty()) return {this->try_emplace(key).first->second, true};
-    spare_.back().key() = key;
-    T& entry = this->insert(std::move(spare_.back())).position->second;
-    spare_.pop_back();
-    return {entry, true};
-  }
-  auto drop(typename Table::iterator at) {
-    auto next = std::next(at);
-    auto node = this->extract(at);
-    if (spare_.size() < kSpare) spare_.push_back(std::move(node));
-    return next;
-  }
-
- private:
-  std::vector<typename Table::node_type> spare_;
-};
-
 enum TimerKind : std::uint64_t { kDeadlineTimer, kCopyTimer, kAskTimer };
 
 void require(bool ok, const std::string& name) {
@@ -280,7 +254,6 @@
   bool disbelieve = false;
   // list
   bool watching = false, asking = false;
-  int ask_failures = 0;
   std::uint64_t ask_token = 0;
   std::uint64_t draws = 0;
   std::vector<double> rates;  // of renew_usual(), for its memory alone
@@ -961,8 +934,7 @@
 
   void list_failed() {
     watching = asking = false;
-    ask_failures = std::min(ask_failures + 1, 4);
-    double pause = static_cast<double>(kAskBackoff << (ask_failures - 1)) * (0.5 + random());
+    double pause = kAskPause * (0.5 + random());
     ask(static_cast<Micros>(std::min(pause, 0.8 * static_cast<double>(set.ask_within))));
   }
 
@@ -1099,8 +1071,7 @@
     m.list_failed();
     return m.out;
   }
-  if (scope != ListScope::Cached && m.asking)
-    m.asking = false, m.watching = true, m.ask_failures = 0;
+  if (scope != ListScope::Cached && m.asking) m.asking = false, m.watching = true;
   if (scope != ListScope::Delta) {
     std::map<std::string, bool> named;
     for (const Server& e : entries) named[e.id] = true;
