--- a/include/violetusher/balancer.hpp
+++ b/include/violetusher/balancer.hpp
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <initializer_list>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -189,9 +190,11 @@
 
 // ---- actions ----
 struct Send {
+  static constexpr Micros kAnyTime = std::numeric_limits<Micros>::max();
   RequestId id;
   std::string server;
-  Micros patience;  ///< 0 = until the client quits
+  Micros patience;          ///< 0 = until the client quits
+  Micros until = kAnyTime;  ///< not to be sent at this time or later, however it has waited
 };
 struct Refuse {
   RequestId id;
--- a/src/core/ops/retune.cpp
+++ b/src/core/ops/retune.cpp
@@ -69,6 +69,13 @@
     if (c.deadline <= 0) return "class '" + c.name + "': deadline not over 0";
   }
   if (settings.max_attempts <= 0) return "attempts not over 0";
+  names.clear();
+  for (const TenantSettings& t : settings.tenants) {
+    if (t.name.empty()) return "a tenant without a name";
+    if (!names.insert(t.name).second) return "tenant '" + t.name + "' comes twice";
+    if (!(t.portion >= 0 && t.portion <= 1)) return "tenant '" + t.name + "': portion not 0 to 1";
+    if (!(t.quota_per_s >= 0)) return "tenant '" + t.name + "': quota under 0";
+  }
   return {};
 }
 
@@ -92,6 +99,10 @@
       it->key_ttl = std::min(it->key_ttl, old.key_ttl);
     }
   }
+  for (const TenantSettings& old : from.tenants)
+    if (std::none_of(both.tenants.begin(), both.tenants.end(),
+                     [&](const TenantSettings& t) { return t.name == old.name; }))
+      both.tenants.push_back(old);
   return both;
 }
 
--- a/src/core/ops/retune.hpp
+++ b/src/core/ops/retune.hpp
@@ -20,11 +20,13 @@
 std::string missing_path(const std::vector<std::string>& shape,
                          const std::vector<std::string>& paths);
 
-/// What is wrong with settings to be taken over while running; empty where nothing is.
+/// What is wrong with settings, at the start or to be taken over while running; empty where nothing
+/// is.
 std::string why_unfit(const Settings& settings);
 
-/// What binds while both are about: the classes of both, `to`'s first, each with the stricter of
-/// the two rules on repeats, the longer deadline, and the smaller number of attempts.
+/// What binds while both are about: the tenants and the classes of both, `to`'s first, each with
+/// the stricter of the two rules on repeats, the longer deadline, and the smaller number of
+/// attempts.
 Settings both_bind(const Settings& from, const Settings& to);
 
 }  // namespace violetusher::core::ops
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -343,7 +343,8 @@
   }
   if (only_check) return check(operator_file);
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
+  // Until there is something to reload or to copy; of others no meaning is known here.
+  for (int one : {SIGHUP, SIGUSR1, SIGUSR2}) std::signal(one, SIG_IGN);
   try {
     Config config = load_config();
     if (!parse_address(config.discovery))
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -40,9 +40,16 @@
 void ClientConnection::on_ready(unsigned what) {
   if (closed_) return;
   if (what & Watch::kWritable) side_.touch(*this);
+  if (what & Watch::kPeerEnded) peer_ended_ = true;
   if (what & Watch::kReadable) read();
 }
 
+void ClientConnection::look_for_end() {
+  if (closed_ || eof_ || reading_ || lingering_ || !side_.io_.peer_ended(socket_.number())) return;
+  peer_ended_ = true;
+  end_of_input();
+}
+
 void ClientConnection::read() {
   ssize_t got = side_.io_.recv(socket_.number(), side_.scratch_.get(), ClientSide::kScratch);
   if (got < 0) {
@@ -106,6 +113,10 @@
 
 void ClientConnection::take(Command&& command) {
   ClientSlot& slot = add_slot();
+  if (peer_ended_) {
+    side_.answer(Owed(slot), {}, Reply(Reply::Kind::Failed));
+    return;
+  }
   if (over_limit_) {
     side_.handler_.on_turned_away(command);
     side_.answer(Owed(slot), {}, Reply(Reply::Kind::Busy));
@@ -190,6 +201,7 @@
 
 void ClientConnection::flush() {
   advance();
+  bool said = out_at_ < out_.size();
   while (out_at_ < out_.size()) {
     iovec rest{out_.data() + out_at_, out_.size() - out_at_};
     ssize_t put = side_.io_.send(socket_.number(), &rest, 1);
@@ -209,11 +221,14 @@
     out_.clear();
     if (out_.capacity() > kKeptOut) std::string().swap(out_);
     out_at_ = 0;
-    if (slots_.empty()) used_at_ = side_.io_.now();
+    if (said && slots_.empty()) used_at_ = side_.io_.now();
   } else if (out_at_ > ClientSide::kOutLow) {
     out_.erase(0, out_at_);
     out_at_ = 0;
   }
+  // What has come until now was taken: it is read before the connection may close.
+  if (vacant() && released() && !eof_ && !lingering_ && !side_.ending_) read();
+  if (closed_) return;
   if (vacant() && (eof_ || broken_ || over_limit_ || released())) {
     finish();
     account();
@@ -226,8 +241,19 @@
   update_reading();
 }
 
+void ClientConnection::end_overdue() {
+  if (!rests()) {
+    side_.close(*this);
+    return;
+  }
+  read();
+  if (closed_ || !rests()) return;
+  finish();
+}
+
 /// Whether a router that stops owes nothing more here.
 bool ClientConnection::released() const {
+  if (side_.ending_) return true;
   if (!side_.draining_ || in_command()) return false;
   return spoken_ || side_.io_.now() - used_at_ > kFirstWord;
 }
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -17,6 +17,9 @@
   void on_ready(unsigned what) override;
   void read();
   void flush();
+  /// While it is not read a close goes unseen: looks for one. Call a few times in a tenth of a
+  /// second, after which nothing more may be begun for a client that has closed.
+  void look_for_end();
   /// Renews its part in the bytes held for all.
   void account();
 
@@ -25,6 +28,9 @@
   bool in_command() const { return reader_.in_command() || !held_.empty(); }
   /// True when its time is up, whatever it has been doing or not doing.
   bool overdue(Micros now) const;
+  /// Ends it for that. What has come on a resting one in this very moment is taken first, and
+  /// nothing that the client has not read yet is lost by a reset.
+  void end_overdue();
   std::size_t unsent() const { return out_.size() - out_at_; }
   std::size_t waiting() const { return unsent() + ready_; }
 
@@ -38,9 +44,10 @@
   std::size_t accounted_ = 0;  // of ClientSide::buffered_
   bool reading_ = true;
   bool eof_ = false;
-  bool broken_ = false;  // nothing more is taken from it: closes after the answers due
-  bool over_limit_;      // refused and closed
-  bool spoken_ = false;  // a whole command has come
+  bool peer_ended_ = false;  // a client that closes has gone: what it sent before is not sent on
+  bool broken_ = false;      // nothing more is taken from it: closes after the answers due
+  bool over_limit_;          // refused and closed
+  bool spoken_ = false;      // a whole command has come
   bool lingering_ = false;
   bool dirty_ = false;
   bool closed_ = false;
@@ -51,6 +58,7 @@
 
  private:
   bool released() const;
+  bool rests() const { return vacant() && !in_command() && !lingering_ && !stalled_since_; }
   bool full() const;
   void parse(std::string_view& in);
   void parse_held();
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -153,9 +153,11 @@
   sweep_alarm_->set(kSweep);
   Micros now = io_.now();
   for (std::size_t k = connections_.size(); k-- > 0;) {  // from the end: closing moves the last one
+    if (k >= connections_.size()) continue;
+    connections_[k]->look_for_end();  // which may close it, and take others along
     if (k >= connections_.size()) continue;
     if (connections_[k]->overdue(now))
-      close(*connections_[k]);  // which may take others along
+      connections_[k]->end_overdue();
     else if (draining_)
       touch(*connections_[k]);  // its time for a first command may have run out
   }
@@ -267,13 +269,12 @@
     if (!l->shared) accept_some(*l, kBacklog);
   draining_ = true;
   listeners_.clear();
-  // What is already in a socket's buffer was taken: it is read before the connection may close.
-  for (std::size_t k = connections_.size(); k-- > 0;) {
-    if (k >= connections_.size()) continue;
-    ClientConnection& c = *connections_[k];
-    if (c.reading_ && !c.eof_ && !c.lingering_) c.read();
-    touch(c);
-  }
+  for (auto& c : connections_) touch(*c);
+}
+
+void ClientSide::end_all() {
+  ending_ = true;
+  for (auto& c : connections_) touch(*c);
 }
 
 }  // namespace violetusher::net
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -112,6 +112,9 @@
   /// Planned end: takes the connections that wait in the backlog, unless those are for others as
   /// well, stops listening and closes every connection as soon as it is between requests.
   void drain();
+  /// The last moment of a planned end, with no request open: closes every connection after what is
+  /// written to it, whatever its client has begun to send.
+  void end_all();
   std::size_t connections() const { return connections_.size(); }
   std::size_t buffered() const { return buffered_; }
 
@@ -151,7 +154,7 @@
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::unique_ptr<Alarm> sweep_alarm_;
   bool accept_paused_ = false;
-  bool draining_ = false;
+  bool draining_ = false, ending_ = false;
   std::vector<std::unique_ptr<ClientConnection>> connections_;
   std::vector<std::unique_ptr<ClientConnection>> closed_;  // freed at the end of an iteration
   std::vector<ClientConnection*> dirty_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -226,6 +226,8 @@
 void complete(const Config& c) {
   if (c.listen.empty()) throw ConfigError("listen: missing");
   if (c.discovery.empty()) throw ConfigError("discovery: missing");
+  if (std::string why = core::ops::why_unfit(c.settings); !why.empty())
+    throw ConfigError("settings: " + why);
 }
 
 }  // namespace
@@ -257,11 +259,9 @@
   fill(c.listen, "NODE_LISTEN");
   fill(c.discovery, "NODE_DISCOVERY");
   fill(c.operator_listen, "NODE_OPERATOR");
-  complete(c);
   if (std::string missing = core::ops::missing_path(now.paths, c.paths); !missing.empty())
     throw ConfigError(missing + ": missing");
-  if (std::string why = core::ops::why_unfit(c.settings); !why.empty())
-    throw ConfigError("settings: " + why);
+  complete(c);
   return c;
 }
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -74,6 +74,12 @@
   arm();
 }
 
+void Discovery::use(const core::membership::Terms& terms) {
+  if (!calls_.use(terms)) return;
+  insists_ = terms.insists;
+  watch();
+}
+
 void Discovery::start(Place place, const std::string& version, Micros wait) {
   std::string path = kPath;
   if (!version.empty())
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -38,6 +38,9 @@
   /// going on at the old one.
   void move(const std::string& address);
 
+  /// Calls by other terms from now on; a watch begins anew where they differ.
+  void use(const core::membership::Terms& terms);
+
   /// How long ago an answer last showed what the list is, or since the start.
   Micros age() const { return io_.now() - calls_.heard_at(); }
   /// Calls made since the start.
--- a/src/net/io.hpp
+++ b/src/net/io.hpp
@@ -53,7 +53,12 @@
 /// Interest in what can be done with one socket. Must go before the socket.
 class Watch {
  public:
-  enum Ready : unsigned { kReadable = 1, kWritable = 2, kLimit = 4 };
+  enum Ready : unsigned {
+    kReadable = 1,
+    kWritable = 2,
+    kLimit = 4,
+    kPeerEnded = 8,  ///< with kReadable, where the system tells: see Io::peer_ended()
+  };
   class Target {
    public:
     virtual ~Target() = default;
@@ -117,6 +122,9 @@
   virtual ssize_t send(int socket, const iovec* parts, std::size_t count) = 0;
   /// True where recv() would return anything but kAgain: bytes, an end or an error.
   virtual bool has_input(int socket) = 0;
+  /// True once the peer has closed the connection or ended its sending, or broken it, also while
+  /// bytes that it sent before are still unread.
+  virtual bool peer_ended(int socket) = 0;
   /// Ends the sending side.
   virtual void shut_sending(int socket) = 0;
   virtual void close(int socket) = 0;
--- a/src/net/request_actions.cpp
+++ b/src/net/request_actions.cpp
@@ -40,6 +40,7 @@
   OpenRequest* open = table_.find(id);
   if (!open) return;
   --open->untold;
+  if (open->answered()) withdraw_unsent(*open);
   forget_if_done(*open);
 }
 
@@ -67,7 +68,7 @@
     open->attempts.back().patience = p_.timers.set(
         now + wait, {.kind = Timers::Due::Kind::kAttempt, .attempt = attempt, .token = open->id});
   }
-  p_.servers.send(a.server, a.id, attempt, open->command, (wait + kMillisecond - 1) / kMillisecond);
+  p_.servers.send(a.server, a.id, attempt, open->command, now + wait, a.until);
 }
 
 /// The budget's word on another attempt. Where it says no and nothing else is under way, the
@@ -92,6 +93,7 @@
   OpenRequest* open = table_.find(a.id);
   if (!open || open->answered()) return;
   give(*open, Reply(Reply::Kind::Busy, a.wait), Why::kModule);
+  withdraw_unsent(*open);
   forget_if_done(*open);
 }
 
@@ -99,6 +101,7 @@
   OpenRequest* open = table_.find(a.id);
   if (!open || open->answered()) return;
   give(*open, kFailedReply, Why::kModule);
+  withdraw_unsent(*open);
   forget_if_done(*open);
 }
 
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -299,6 +299,16 @@
   p_.feed.push(std::move(e));
 }
 
+/// Nothing more goes out for a request that has its answer, or whose client has gone: what waits
+/// for a connection or its turn is taken back here, whether or not attempts may be cancelled.
+void RequestCore::withdraw_unsent(OpenRequest& open) {
+  for (std::size_t k = 0; k < open.attempts.size(); ++k) {
+    int attempt = static_cast<int>(k);
+    if (open.attempts[k].out && p_.servers.withdraw(open.attempts[k].server, open.id, attempt))
+      tell_outcome(open, attempt, Status::Moot, nullptr);
+  }
+}
+
 void RequestCore::forget_if_done(OpenRequest& open) {
   if (!open.done()) return;
   p_.timers.cancel(open.expiry);
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -33,6 +33,8 @@
 
   /// What an operator file makes of requests from now on; those that are open keep theirs.
   void operate(std::shared_ptr<core::Traffic> traffic) { traffic_ = std::move(traffic); }
+  /// What new settings say of the table.
+  void retune(RequestTable::Bounds bounds) { table_.bound(bounds); }
   /// Tells `account`, which outlives this, what is refused.
   void keep_account(core::audit::Account& account) { account_ = &account; }
   /// Called where a rule is close to being broken, with what it is about.
@@ -82,6 +84,7 @@
   void end_stream(OpenRequest& open, bool whole);
   void tell_outcome(OpenRequest& open, int attempt, Status status, Answer* answer);
   void tell_gone(OpenRequest& open);
+  void withdraw_unsent(OpenRequest& open);
   void forget_if_done(OpenRequest& open);
   void note(core::flight::Kind kind, RequestId id, int attempt = -1, std::uint32_t number = 0,
             std::int64_t value = 0, std::string_view text = {}, Why why = Why::kNone);
--- a/src/net/request_table.hpp
+++ b/src/net/request_table.hpp
@@ -56,6 +56,8 @@
     std::size_t bytes = 0;  ///< of their commands
   };
   explicit RequestTable(Bounds bounds) : bounds_(bounds) {}
+  /// Other bounds from now on; what is open stays.
+  void bound(Bounds bounds) { bounds_ = bounds; }
 
   bool full() const { return open_.size() >= bounds_.requests; }
   bool heavy() const { return bytes_ >= bounds_.bytes; }
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -23,7 +23,12 @@
 // 0.7 s is ours to lose no more: in between the router stops listening.
 constexpr Micros kStopListening = kSecond / 2;
 constexpr Micros kStopStep = 20 * kMillisecond;
-constexpr Micros kStopSlack = 650 * kMillisecond;
+// SIGKILL comes 0.7 s after the longest deadline, which the platform takes for kLongestWait at the
+// most. Before that whatever is open is failed, and clients have kStopLinger to read it and close:
+// an end of the process over unread bytes resets connections and takes unread answers along.
+constexpr Micros kLongestWait = 3 * kSecond;
+constexpr Micros kStopSlack = 600 * kMillisecond;
+constexpr Micros kStopLinger = 60 * kMillisecond;
 
 const violetusher::Actions kNoActions;
 
@@ -64,7 +69,7 @@
 Micros longest_deadline(const Config& c) {
   Micros longest = 0;
   for (const auto& one : c.settings.classes) longest = std::max(longest, one.deadline);
-  return longest;
+  return std::min(longest, kLongestWait);
 }
 
 }  // namespace
@@ -171,13 +176,12 @@
 
 void Router::stop_step() {
   clients_.drain();
-  Micros waited = io_.now() - stopping_since_;
-  bool late = waited > longest_deadline(config_) + kStopSlack;
-  if (late) {
+  Micros late = io_.now() - stopping_since_ - longest_deadline(config_) - kStopSlack;
+  if (late > 0) {
     core_.fail_all();
-    clients_.flush();
+    clients_.end_all();
   }
-  done_ = late || (core_.table().size() == 0 && clients_.connections() == 0);
+  done_ = late > kStopLinger || (core_.table().size() == 0 && clients_.connections() == 0);
   if (!done_) stop_alarm_->set(kStopStep);
 }
 
@@ -199,7 +203,6 @@
     differs("limits");
   if (config.operator_listen != config_.operator_listen) differs("operator");
   // What is there now may itself be a change-over; the classes of both are taken until its end.
-  next_settings_ = config.settings;
   try {
     retune(core::ops::both_bind(config_.settings, config.settings));
   } catch (const std::invalid_argument& e) {
@@ -208,12 +211,15 @@
                {{"reason", std::string_view(e.what())}});
     return false;
   }
+  next_settings_ = config.settings;  // not before they are known to be good
   change_over_alarm_->set(core::ops::kChangeOver);
   config_.links = config.links;
   servers_.retune(server_limits(config));
+  core_.retune(table_bounds(config_));
   config_.paths = config.paths;
   log_.write(now, Log::Level::kInfo, "reload-discovery", "reload: discovery at " + config.discovery,
              {{"address", address}});
+  discovery_.use(terms_of(config.settings));
   if (config.discovery != config_.discovery) {
     config_.discovery = config.discovery;
     discovery_.move(config.discovery);
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -74,6 +74,7 @@
   std::uint64_t discovery_calls() const { return discovery_.calls(); }
   std::size_t pools() const { return pools_.modules(); }
   std::size_t open_requests() const { return core_.table().size(); }
+  std::size_t most_open_requests() const { return core_.table().most(); }
   std::size_t timers() const { return timers_.size(); }
   std::size_t client_connections() const { return clients_.connections(); }
   std::size_t client_buffered() const { return clients_.buffered(); }
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -41,6 +41,11 @@
   }
 }
 
+/// Milliseconds from `now` to `end`, rounded up; 0 where it is over.
+std::int64_t left_ms(Micros end, Micros now) {
+  return (std::max<Micros>(end - now, 0) + kMillisecond - 1) / kMillisecond;
+}
+
 bool fits(const ServerConnection::Entry& e, const Answer& answer) {
   if (answer.kind == Answer::Kind::Value && e.set) return false;
   if (answer.kind == Answer::Kind::Stored && !e.set) return false;
@@ -86,8 +91,34 @@
   side_.touch(*this);
 }
 
+/// What has waited for the connection or its turn tells the time that is left now, and is not begun
+/// where it comes too late for that.
+void ServerConnection::renew_unsent() {
+  Micros now = side_.io_.now();
+  for (std::size_t k = sent_ + (partial_ > 0); k < entries_.size();) {
+    Entry& e = entries_[k];
+    if (e.live && now >= e.until) {
+      RequestId id = e.id;
+      int attempt = e.attempt;
+      entries_.erase(k);
+      side_.handler_.on_attempt_end(id, attempt, Status::ConnectFailed, Answer());
+      continue;
+    }
+    if (now > e.since) e.tell_time_left(now);
+    ++k;
+  }
+}
+
+void ServerConnection::Entry::tell_time_left(Micros now) {
+  std::string left = std::to_string(left_ms(given_up, now));
+  bytes.replace(figure, figure_end - figure, left);
+  figure_end = figure + left.size();
+  size = bytes.size();
+}
+
 void ServerConnection::flush() {
   if (connecting_) return;
+  renew_unsent();
   while (sent_ < entries_.size()) {
     iovec parts[64];
     std::size_t count = 0;
@@ -217,8 +248,8 @@
   return true;
 }
 
-void ServerConnection::queue(RequestId id, int attempt, const Command& command,
-                             std::int64_t wait_ms) {
+void ServerConnection::queue(RequestId id, int attempt, const Command& command, Micros given_up,
+                             Micros until) {
   Entry& e = entries_.push();
   e.id = id;
   e.attempt = attempt;
@@ -228,9 +259,13 @@
   e.type = side_.account_ ? side_.account_->type_of(command.type) : 0;
   e.answer_id = command.id;
   e.bytes.clear();
-  protocol::append_command(e.bytes, command, wait_ms);
-  e.size = e.bytes.size();
   e.since = used_at_ = side_.io_.now();
+  e.given_up = given_up;
+  e.until = until;
+  protocol::append_command(e.bytes, command, left_ms(given_up, e.since));
+  e.size = e.bytes.size();
+  e.figure = command.head.size();
+  e.figure_end = e.size - command.tail.size() - (command.set ? command.value.size() + 4 : 2);
   side_.touch(*this);
 }
 
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -28,12 +28,17 @@
     int attempt = 0;
     bool live = true;  // somebody waits for it
     bool set = false;
-    std::string answer_id;   // that its answer must bear
-    std::string bytes;       // of the command; given up once written
-    std::size_t size = 0;    // of those bytes
-    Micros since = 0;        // queued, then abandoned
-    std::uint32_t type = 0;  // its class, as the account numbers it
-    bool begun = false;      // counted as sent
+    std::string answer_id;                   // that its answer must bear
+    std::string bytes;                       // of the command; given up once written
+    std::size_t size = 0;                    // of those bytes
+    std::size_t figure = 0, figure_end = 0;  // in them, where the time that is left is told
+    Micros given_up = 0;                     // which ends then
+    Micros until = 0;                        // it may not begin then or later
+    Micros since = 0;                        // queued, then abandoned
+    std::uint32_t type = 0;                  // its class, as the account numbers it
+    bool begun = false;                      // counted as sent
+
+    void tell_time_left(Micros now);
   };
 
   ServerConnection(ServerSide& side, ServerPool& pool, Socket socket, std::uint32_t number);
@@ -42,13 +47,15 @@
   void await_connect();
   void flush();
   /// Behind all others. Nothing of it is written before flush().
-  void queue(RequestId id, int attempt, const Command& command, std::int64_t wait_ms);
+  void queue(RequestId id, int attempt, const Command& command, Micros given_up, Micros until);
   /// Reads on after a pause.
   void go_on();
   /// Ends attempts at the back of which nothing is written and that were queued before `since`.
   void drop_unsent(Micros since);
 
   bool idle() const { return !connecting_ && entries_.empty(); }
+  /// Something of the entry at this place is written.
+  bool begun(std::size_t place) const { return place < sent_ || (place == sent_ && partial_ > 0); }
   /// Nobody waits for anything on it.
   bool forsaken() const;
   /// True when the peer has ended or broken the connection, or said something unasked.
@@ -77,6 +84,7 @@
   Micros used_at_;
 
  private:
+  void renew_unsent();
   void count_begun();
   void connected(unsigned what);
   void read();
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -155,7 +155,7 @@
 }
 
 void ServerSide::send(const std::string& server, RequestId id, int attempt, const Command& command,
-                      std::int64_t wait_ms) {
+                      Micros given_up, Micros until) {
   auto at = pools_.find(server);
   // A decision may be as old as the list that came behind it in the same turn.
   bool wanted = at != pools_.end() && at->second->wanted;
@@ -168,41 +168,49 @@
     return;
   }
   auto before = static_cast<std::int64_t>(c->entries_.size());
-  c->queue(id, attempt, command, wait_ms);
+  c->queue(id, attempt, command, given_up, until);
   recorder_.note(c->used_at_, Kind::kSent, id, attempt, c->number_, before, server);
 }
 
-Status ServerSide::cancel(const std::string& server, RequestId id, int attempt) {
-  auto at = pools_.find(server);
-  if (at == pools_.end()) return Status::Cancelled;
-  for (auto& owner : at->second->connections) {
-    ServerConnection& c = *owner;
-    for (std::size_t k = 0; k < c.entries_.size(); ++k) {
-      ServerConnection::Entry& e = c.entries_[k];
-      if (!e.live || e.id != id || e.attempt != attempt) continue;
-      if (k > c.sent_ || (k == c.sent_ && c.partial_ == 0)) {
-        c.entries_.erase(k);
-        return Status::Moot;
-      }
-      e.live = false;
-      e.since = io_.now();
-      if (k < c.sent_) {
-        // Only an end of the connection tells the server that nobody waits any more, so that it may
-        // drop what it has not begun. Where many clients leave early, what they left behind filled
-        // the servers. It costs a new connection, some milliseconds of the server's work, for
-        // nothing where servers go on with waiting work. Neighbours are not taken along: then the
-        // answer is read and dropped when it comes.
-        if (c.forsaken())
-          close(c);
-        else if (c.paused_)
-          c.go_on();  // read and dropped, for those behind it
-        return Status::Cancelled;
+std::pair<ServerConnection*, std::size_t> ServerSide::find(const std::string& server, RequestId id,
+                                                           int attempt) {
+  if (auto at = pools_.find(server); at != pools_.end())
+    for (auto& c : at->second->connections)
+      for (std::size_t k = 0; k < c->entries_.size(); ++k) {
+        const ServerConnection::Entry& e = c->entries_[k];
+        if (e.live && e.id == id && e.attempt == attempt) return {c.get(), k};
       }
-      // Partly written: finishing it would send the request after its end.
-      close(c);
-      return Status::Moot;
-    }
+  return {nullptr, 0};
+}
+
+bool ServerSide::withdraw(const std::string& server, RequestId id, int attempt) {
+  auto [c, place] = find(server, id, attempt);
+  if (!c || c->begun(place)) return false;
+  c->entries_.erase(place);
+  return true;
+}
+
+Status ServerSide::cancel(const std::string& server, RequestId id, int attempt) {
+  if (withdraw(server, id, attempt)) return Status::Moot;
+  auto [c, place] = find(server, id, attempt);
+  if (!c) return Status::Cancelled;
+  ServerConnection::Entry& e = c->entries_[place];
+  e.live = false;
+  e.since = io_.now();
+  if (place == c->sent_) {
+    // Partly written: finishing it would send the request after its end.
+    close(*c);
+    return Status::Moot;
   }
+  // Only an end of the connection tells the server that nobody waits any more, so that it may drop
+  // what it has not begun. Where many clients leave early, what they left behind filled the
+  // servers. It costs a new connection, some milliseconds of the server's work, for nothing where
+  // servers go on with waiting work. Neighbours are not taken along: then the answer is read and
+  // dropped when it comes.
+  if (c->forsaken())
+    close(*c);
+  else if (c->paused_)
+    c->go_on();  // read and dropped, for those behind it
   return Status::Cancelled;
 }
 
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -56,9 +56,13 @@
   /// Takes over what a list says of where servers are and whether they want anything new.
   void take_list(const HostList& list);
 
-  /// Sends one attempt. The handler may be told of its end before this returns.
+  /// Sends one attempt, whose server is told how long is left until `given_up` when the first of it
+  /// is written; from `until` on nothing of it is begun any more. The handler may be told of its
+  /// end before this returns.
   void send(const std::string& server, RequestId id, int attempt, const Command& command,
-            std::int64_t wait_ms);
+            Micros given_up, Micros until = violetusher::Send::kAnyTime);
+  /// Takes an attempt back of which nothing is written yet; false where there is none.
+  bool withdraw(const std::string& server, RequestId id, int attempt);
   /// Gives an attempt up: Moot where nothing of it was sent whole, Cancelled where it may have run.
   Status cancel(const std::string& server, RequestId id, int attempt);
   /// The long value of the attempt may go on coming.
@@ -81,6 +85,9 @@
 
  private:
   friend class ServerConnection;
+  /// The connection that the attempt is on, and its place there; none where nobody waits for it.
+  std::pair<ServerConnection*, std::size_t> find(const std::string& server, RequestId id,
+                                                 int attempt);
   void sweep();
   void give_back(ServerPool& pool);
   ServerConnection* pick(ServerPool& pool);
--- a/src/net/system_io.cpp
+++ b/src/net/system_io.cpp
@@ -4,6 +4,7 @@
 #include <event2/http.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -18,7 +19,11 @@
 class SystemWatch final : public Watch {
  public:
   SystemWatch(Io& io, event_base* base, int socket, Target& target) : io_(io), target_(target) {
-    read_.reset(event_new(base, socket, EV_READ | EV_PERSIST, on_event, this));
+    // The peer's end comes with the bytes before it, so that it is known of before they are read.
+    // Never asked for without EV_READ: a reset would then call nobody, over and over.
+    bool tells = event_base_get_features(base) & EV_FEATURE_EARLY_CLOSE;
+    short what = EV_READ | EV_PERSIST | (tells ? EV_CLOSED : 0);
+    read_.reset(event_new(base, socket, what, on_event, this));
     write_.reset(event_new(base, socket, EV_WRITE, on_event, this));
   }
   void read(bool on) override { on ? event_add(read_.get(), nullptr) : event_del(read_.get()); }
@@ -29,8 +34,9 @@
 
  private:
   static void on_event(evutil_socket_t, short what, void* self) {
-    unsigned ready = (what & EV_READ ? kReadable : 0u) | (what & EV_WRITE ? kWritable : 0u) |
-                     (what & EV_TIMEOUT ? kLimit : 0u);
+    unsigned ready = (what & (EV_READ | EV_CLOSED) ? kReadable : 0u) |
+                     (what & EV_WRITE ? kWritable : 0u) | (what & EV_TIMEOUT ? kLimit : 0u) |
+                     (what & EV_CLOSED ? kPeerEnded : 0u);
     auto* watch = static_cast<SystemWatch*>(self);
     watch->io_.renew();
     watch->target_.on_ready(ready);
@@ -224,6 +230,11 @@
   return got >= 0 || !would_block();
 }
 
+bool SystemIo::peer_ended(int socket) {
+  pollfd one{socket, POLLRDHUP, 0};
+  return ::poll(&one, 1, 0) > 0 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR));
+}
+
 void SystemIo::shut_sending(int socket) { ::shutdown(socket, SHUT_WR); }
 
 void SystemIo::close(int socket) { ::close(socket); }
--- a/src/net/system_io.hpp
+++ b/src/net/system_io.hpp
@@ -85,6 +85,7 @@
   ssize_t recv(int socket, char* to, std::size_t size) override;
   ssize_t send(int socket, const iovec* parts, std::size_t count) override;
   bool has_input(int socket) override;
+  bool peer_ended(int socket) override;
   void shut_sending(int socket) override;
   void close(int socket) override;
   std::unique_ptr<Watch> watch(int socket, Watch::Target& target) override;
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -227,8 +227,8 @@
   std::array<std::unordered_map<std::uint64_t, Seen>, 2> counts;  // this generation, last
   Micros generation_at = 0;
   std::vector<std::shared_ptr<ClassState>> classes;
-  std::vector<double> tenant_rate;
-  double rate_sum = 0;  // decayed count of attempts sent, in mean requests
+  std::map<std::string, double> tenant_rate;  // by name: new settings may list them otherwise
+  double rate_sum = 0;                        // decayed count of attempts sent, in mean requests
   Micros rate_at = 0;
   Micros born = 0;
   double mean_work = 0;
@@ -711,10 +711,10 @@
     mean_value += (mean_value <= 0 ? 1 : 0.02) * (value - mean_value);
     if (value > 0) chance *= std::clamp(mean_value / value, kShedLeast, kShedMost);
     chance = std::min(chance, 1 - kAdmitMin / 2);
-    for (std::size_t t = 0; t < set.tenants.size(); ++t) {
-      if (set.tenants[t].name != o.request.tenant || set.tenants[t].quota_per_s <= 0) continue;
-      double quota = set.tenants[t].quota_per_s / std::max(1, set.routers);
-      double own = tenant_rate[t] / kRateSpan;
+    for (const TenantSettings& t : set.tenants) {
+      if (t.name != o.request.tenant || t.quota_per_s <= 0) continue;
+      double quota = t.quota_per_s / std::max(1, set.routers);
+      double own = tenant_rate[o.request.tenant] / kRateSpan;
       if (own > quota) chance += std::min(1.0, 4 * shed) * (1 - quota / own);
     }
     if (shed <= 0) return false;
@@ -730,7 +730,7 @@
     if (rate_at == now) return;
     double fade = rate_fade();
     rate_sum *= fade;
-    for (double& rate : tenant_rate) rate *= fade;
+    for (auto& [name, rate] : tenant_rate) rate *= fade;
     rate_at = now;
   }
 
@@ -758,6 +758,15 @@
                        [](const Attempt& a) { return a.ran != Ran::Never; });
   }
 
+  /// When the servers' memory of what a keyed request may have done begins to end.
+  Micros repeatable_until(const Open& o) const {
+    Micros until = Send::kAnyTime;
+    for (const Attempt& a : o.attempts)
+      if (o.cls->rules.effect == Effect::Keyed && a.ran != Ran::Never)
+        until = std::min(until, a.sent + o.cls->rules.key_ttl - 2 * set.tick);
+    return until;
+  }
+
   /// Rules 2 and 3 for one more attempt at `server`.
   bool may_send(const Open& o, int server) const {
     const ServerState& to = servers[server];
@@ -765,10 +774,10 @@
     if (!set.second_copies && any_out(o)) return false;
     const ClassSettings& c = o.cls->rules;
     if (c.effect == Effect::Repeatable) return true;
+    if (now >= repeatable_until(o)) return false;
     for (const Attempt& a : o.attempts) {
       if (a.ran == Ran::Never) continue;
       if (c.effect == Effect::Once) return false;
-      if (now + 2 * set.tick >= a.sent + c.key_ttl) return false;
       const Server& from = servers[a.server].listed;
       if (c.group == Group::Zone && from.zone != to.listed.zone) return false;
       if (c.group == Group::Cell && (from.cell < 0 || from.cell != to.listed.cell)) return false;
@@ -859,9 +868,9 @@
     if (at.server < 0) at = last_resort(o);
     if (at.server < 0) return false;
     o.seed = at.seed;
-    if (first)  // admitted ones only: clients repeat what is refused, which is no use of the quota
-      for (std::size_t t = 0; t < set.tenants.size(); ++t)
-        tenant_rate[t] += set.tenants[t].name == o.request.tenant;
+    // Admitted ones only: clients repeat what is refused, which is no use of the quota.
+    auto tenant = tenant_rate.find(o.request.tenant);
+    if (first && tenant != tenant_rate.end()) tenant->second += 1;
     if (key) {
       if (key->drawn++ == 0) key->home = at.server;
       key->seed = at.seed;
@@ -872,6 +881,7 @@
 
   void dispatch(Open& o, int server) {
     ServerState& s = servers[server];
+    Micros until = repeatable_until(o);
     o.attempts.push_back({server, now});
     ++s.in_flight, ++total_in_flight, ++s.named;
     fade_rates();
@@ -888,7 +898,7 @@
       else
         limit = wait;
     }
-    out.push_back(Send{o.request.id, s.listed.id, limit});
+    out.push_back(Send{o.request.id, s.listed.id, limit, until});
   }
 
   /// A broken connection, or a failure of a server that stands out by it: the fault of one server
@@ -990,7 +1000,7 @@
       require(amount(c.late_worth), "classes.late_worth");
     }
     for (const TenantSettings& t : set.tenants) {
-      require(amount(t.portion), "tenants.portion");
+      require(part(t.portion), "tenants.portion");
       require(amount(t.quota_per_s), "tenants.quota_per_s");
     }
     require(set.routers >= 1, "routers");
@@ -1000,14 +1010,14 @@
     require(set.ask_within >= 0, "ask_within");
     require(set.drain_grace >= 0, "drain_grace");
     require(set.max_retry_after >= 0, "max_retry_after");
-    require(part(set.cold_share), "cold_share");
     require(set.cold_time >= 0, "cold_time");
-    require(amount(set.overload_factor), "overload_factor");
     require(set.tip_after >= 0, "tip_after");
+    require(part(set.cold_share), "cold_share");
+    require(amount(set.overload_factor), "overload_factor");
     require(amount(set.cross_zone_charge), "cross_zone_charge");
   }
 
-  /// What was seen of a class is kept under its name.
+  /// What was seen of a class or tenant is kept under its name.
   void use(const Settings& settings) {
     set = settings;
     check_settings();
@@ -1020,7 +1030,9 @@
       fresh.back()->rules = c;
     }
     classes = std::move(fresh);
-    tenant_rate.resize(set.tenants.size());
+    std::map<std::string, double> kept;
+    for (const TenantSettings& t : set.tenants) kept[t.name] = tenant_rate[t.name];
+    tenant_rate.swap(kept);
   }
 
   /// An unknown one is treated as the first.
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -81,7 +81,8 @@
     c.deadline = integer(at + "DeadlineUs", 0);
     c.worth = number(at + "Worth", 1);
     c.late_worth = number(at + "LateWorth", 0);
-    if (!text(at + "Effect").empty()) c.effect = word(kEffect, text(at + "Effect"), at + "Effect");
+    // Without one the class would pass for safe to repeat.
+    c.effect = word(kEffect, text(at + "Effect"), at + "Effect");
     if (!text(at + "Group").empty()) c.group = word(kGroup, text(at + "Group"), at + "Group");
     c.key_ttl = integer(at + "KeyTtlUs", 0);
     c.streamed = flag(at + "Streamed");
--- /dev/null
+++ b/tests/net/crossings_test.cpp
@@ -0,0 +1,432 @@
+// What comes between two lines: each crossing of docs/design/crossings.md is forced on real
+// loopback sockets, by a peer that stops at a named point or by a call that is held back.
+#include <sys/resource.h>
+
+#include <chrono>
+
+#include "held_io.hpp"
+#include "net_support.hpp"
+
+namespace violetusher::net::test {
+namespace {
+
+using Steady = std::chrono::steady_clock;
+
+double seconds_since(Steady::time_point then) {
+  return std::chrono::duration<double>(Steady::now() - then).count();
+}
+
+/// A router whose calls can be held back.
+struct Held {
+  explicit Held(const RouterOptions& options)
+      : router(options, [this](SystemIo& system) {
+          auto held = std::make_unique<HeldIo>(system);
+          io = held.get();
+          return held;
+        }) {}
+  void hold_dials(bool on) {
+    router.post([&](Router&) { io->hold_dials(on); });
+  }
+  void hold_clients(bool on) {
+    router.post([&](Router&) { io->hold_clients(on); });
+  }
+
+  HeldIo* io = nullptr;
+  RunningRouter router;
+};
+
+std::string never(const std::string&, int) { return std::string(); }
+
+std::vector<std::string> ids_of(const LineServer& cache) {
+  std::vector<std::string> ids;
+  for (const std::string& line : cache.lines()) ids.push_back(id_of(line));
+  return ids;
+}
+
+using Ids = std::vector<std::string>;
+
+// ---- a client that has closed has gone ----
+
+/// An attempt that waits for its dial when its client closes is not sent, whether or not the
+/// settings allow attempts to be cancelled: it has not begun.
+TEST(ClientGone, AnAttemptThatWaitsForItsDialIsTakenBack) {
+  for (bool may_cancel : {true, false}) {
+    LineServer cache(good_cache);
+    Held held({.dials = {cache.address()}, .may_cancel = may_cancel});
+    held.hold_dials(true);
+    auto client = std::make_unique<Client>(held.router.port());
+    client->send(read_command("gone"));
+    ASSERT_TRUE(held.router.eventually(
+        [](Router& r) { return r.open_requests() == 1 && r.server_connections() == 1; }));
+    client.reset();
+    ASSERT_TRUE(held.router.eventually([](Router& r) { return r.open_requests() == 0; }));
+    held.hold_dials(false);
+    Client other(held.router.port());
+    other.send(read_command("other"));
+    EXPECT_EQ(other.line(), "VA 5 Oother");
+    EXPECT_EQ(ids_of(cache), Ids{"other"});
+  }
+}
+
+/// The same of an attempt that waits behind others, with the client's end a reset.
+TEST(ClientGone, AResetIsAClose) {
+  LineServer cache(good_cache);
+  Held held({.dials = {cache.address()}, .may_cancel = false});
+  held.hold_dials(true);
+  auto client = std::make_unique<Client>(held.router.port());
+  client->send(read_command("gone"));
+  ASSERT_TRUE(held.router.eventually([](Router& r) { return r.open_requests() == 1; }));
+  linger at_once{1, 0};
+  ::setsockopt(client->fd(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  client.reset();
+  ASSERT_TRUE(held.router.eventually(
+      [](Router& r) { return r.open_requests() == 0 && r.client_connections() == 0; }));
+  held.hold_dials(false);
+  Client other(held.router.port());
+  other.send(read_command("other"));
+  EXPECT_EQ(other.line(), "VA 5 Oother");
+  EXPECT_EQ(ids_of(cache), Ids{"other"});
+}
+
+/// A connection whose pipeline is full is not read, so that nothing shows its end: neither do what
+/// is out go on nor does what waits behind it begin.
+TEST(ClientGone, IsSeenWhileItsConnectionIsNotRead) {
+  LineServer cache([](const std::string& line, int) {
+    return id_of(line)[0] == 'g' ? std::string() : value_for(line);
+  });
+  RunningRouter router(
+      {.dials = {cache.address()}, .deadline_us = "90000000", .aim_us = "80000000"});
+  std::string many;
+  for (int k = 0; k < 300; ++k)
+    many += read_command("g" + std::to_string(k), "k" + std::to_string(k), "90000");
+  auto client = std::make_unique<Client>(router.port());
+  client->send(many);
+  ASSERT_TRUE(router.eventually(
+      [&](Router& r) { return !cache.lines().empty() && r.client_buffered() > 10'000; }));
+  std::size_t sent = cache.lines().size();
+  client.reset();
+  auto closed = Steady::now();
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 0; }));
+  EXPECT_LT(seconds_since(closed), 5);
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.client_connections() == 0; }));
+  Client other(router.port());
+  other.send(read_command("other"));
+  EXPECT_EQ(other.line(), "VA 5 Oother");
+  EXPECT_EQ(cache.lines().size(), sent + 1);
+}
+
+/// A command that is read in one go with its client's close is not sent on.
+TEST(ClientGone, BeforeItsCommandIsRead) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}});
+  router.post([&](Router&) {  // the router's loop stands still meanwhile
+    for (int k = 0; k < 20; ++k) {
+      Client client(router.port());
+      client.send(read_command("gone" + std::to_string(k)));
+    }
+  });
+  Client other(router.port());
+  other.send(read_command("other"));
+  EXPECT_EQ(other.line(), "VA 5 Oother");
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.client_connections() == 1; }));
+  EXPECT_EQ(ids_of(cache), Ids{"other"});
+}
+
+// ---- resting connections ----
+
+/// A request that comes in the very moment in which its resting connection is ended is served.
+TEST(RestingClients, ARequestThatCrossesTheEndIsServed) {
+  LineServer cache(good_cache);
+  Held held({.dials = {cache.address()}});
+  Client client(held.router.port());
+  client.send(read_command("first"));
+  EXPECT_EQ(client.line(), "VA 5 Ofirst");
+  EXPECT_EQ(client.line(), "price");
+  held.hold_clients(true);
+  client.send(read_command("second"));
+  EXPECT_EQ(client.line(), "VA 5 Osecond");  // the end of its rest looks before it closes
+  EXPECT_EQ(client.line(), "price");
+  held.hold_clients(false);
+  EXPECT_EQ(client.read_all(), "");
+  EXPECT_TRUE(client.ended());
+  EXPECT_FALSE(client.reset());
+}
+
+/// One that is ended while its client says something is ended cleanly: what crosses is not sent on,
+/// and the client is not reset.
+TEST(RestingClients, AreEndedWithoutAReset) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}});
+  Client client(router.port());
+  client.send(read_command("first"));
+  EXPECT_EQ(client.line(), "VA 5 Ofirst");
+  EXPECT_EQ(client.line(), "price");
+  EXPECT_EQ(client.line(), "");  // the router has ended its side
+  EXPECT_TRUE(client.ended());
+  client.send(read_command("late"));
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.client_connections() == 0; }));
+  EXPECT_EQ(ids_of(cache), Ids{"first"});
+}
+
+// ---- repeats and what is told to servers ----
+
+/// What has waited for its connection tells the server what is left then, not what was left when it
+/// was decided.
+TEST(TimeTold, IsWhatIsLeftWhenTheAttemptIsWritten) {
+  LineServer cache(good_cache);
+  Held held({.dials = {cache.address()}, .dial_timeout_us = "5000000"});
+  held.hold_dials(true);
+  Client client(held.router.port());
+  client.send(read_command("a", "k1", "1500"));
+  ASSERT_TRUE(held.router.eventually([](Router& r) { return r.server_connections() == 1; }));
+  auto since = Steady::now();
+  while (seconds_since(since) < 0.4) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  held.hold_dials(false);
+  EXPECT_EQ(client.line(), "VA 5 Oa");
+  std::string line = cache.lines().at(0);
+  int told = std::atoi(line.c_str() + line.find("d=") + 2);
+  EXPECT_LE(told, 1100);
+  EXPECT_GT(told, 0);
+}
+
+/// A keyed write that may have run is repeated only while servers remember it. One that waited for
+/// its dial past that is not begun.
+TEST(Repeats, OfAKeyedWriteDoNotBeginBehindTheWindow) {
+  std::atomic<int> lines{0};
+  auto reply = [&](const std::string& line, int) {
+    if (line.rfind("ms ", 0) != 0) return std::string();  // the value
+    return lines++ == 0 ? kClose : "HD O" + id_of(line) + " c1\r\n";
+  };
+  LineServer one(reply), two(reply);
+  for (bool late : {false, true}) {
+    Held held({.dials = {one.address(), two.address()},
+               .key_ttl_us = "400000",
+               .dial_timeout_us = "5000000"});
+    lines = 0;
+    held.hold_dials(true);
+    Client client(held.router.port());
+    client.send("ms k1 5 Ow Pc=put,t=acme,d=1900,k=r1\r\nhello\r\n");
+    ASSERT_TRUE(held.router.eventually([](Router& r) { return r.server_connections() == 1; }));
+    // Lets the first dial through, and holds the next.
+    held.hold_dials(false);
+    held.hold_dials(true);
+    auto since = Steady::now();
+    ASSERT_TRUE(held.router.eventually([&](Router& r) {
+      return lines == 1 && r.server_connections() == 1 && r.open_requests() == 1;
+    }));
+    if (late)
+      while (seconds_since(since) < 0.6) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    held.hold_dials(false);
+    EXPECT_EQ(client.line(), late ? "SERVER_ERROR busy" : "HD Ow c1");
+    EXPECT_EQ(lines, late ? 1 : 2);
+  }
+}
+
+// ---- planned end ----
+
+/// SIGKILL comes 0.7 s after the longest deadline, and no later than 3.7 s after SIGTERM however
+/// long deadlines are: until then every request has its answer, and it can be read.
+TEST(Stopping, AnswersBeforeThePlatformKillsWhateverTheDeadline) {
+  LineServer cache(never);
+  RunningRouter router(
+      {.dials = {cache.address()}, .deadline_us = "20000000", .aim_us = "15000000"});
+  Client client(router.port());
+  client.send(read_command("a", "k1", "19000"));
+  ASSERT_TRUE(router.eventually([&](Router&) { return cache.lines().size() == 1; }));
+  auto told = Steady::now();
+  router.post([](Router& r) { r.stop(); });
+  EXPECT_EQ(client.line(), "SERVER_ERROR failed");
+  EXPECT_LT(seconds_since(told), 3.7);
+}
+
+/// A client that goes on sending up to the end reads its answer, and no reset takes it along.
+TEST(Stopping, AnswersAreNotTakenAlongByAReset) {
+  LineServer cache(never);
+  RunningRouter router({.dials = {cache.address()}, .deadline_us = "600000", .aim_us = "500000"});
+  Client client(router.port());
+  std::string noise;
+  for (int k = 0; k < 20'000; ++k) noise += "mn\r\n";
+  client.send(read_command("a", "k1", "600"));
+  ASSERT_TRUE(router.eventually([&](Router&) { return cache.lines().size() == 1; }));
+  router.post([](Router& r) { r.stop(); });
+  std::thread sender([&] { client.send(noise); });
+  EXPECT_EQ(client.line().rfind("SERVER_ERROR ", 0), 0u);
+  client.read_all();
+  EXPECT_TRUE(client.ended());
+  sender.join();
+  EXPECT_FALSE(client.reset());
+}
+
+/// Nor does one that says nothing keep the router for its longest time.
+TEST(Stopping, IsNotHeldUpByAClientThatSaysNothing) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}});
+  Client silent(router.port()), half(router.port());
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.client_connections() == 2; }));
+  auto told = Steady::now();
+  router.post([](Router& r) { r.stop(); });
+  EXPECT_EQ(silent.read_all(), "");
+  EXPECT_TRUE(silent.ended());
+  EXPECT_LT(seconds_since(told), 2);  // 0.5 s until it stops listening, and 0.2 s for a first word
+}
+
+/// What has come on a connection by the time it is closed was taken, however much it is: all of it
+/// is answered.
+TEST(Stopping, ReadsAllThatHasComeBeforeItCloses) {
+  LineServer cache(good_cache);
+  Held held({.dials = {cache.address()}});
+  Client client(held.router.port());
+  client.send(read_command("first"));
+  EXPECT_EQ(client.line(), "VA 5 Ofirst");
+  EXPECT_EQ(client.line(), "price");
+  held.hold_clients(true);
+  constexpr int kMany = 10'000;  // more than is read at once
+  std::string many;
+  for (int k = 0; k < kMany; ++k) many += "mn\r\n";
+  client.send(many + read_command("last"));
+  held.router.post([](Router& r) { r.stop(); });
+  for (int k = 0; k < kMany; ++k) ASSERT_EQ(client.line(), "MN");
+  EXPECT_EQ(client.line(), "VA 5 Olast");
+  EXPECT_EQ(client.line(), "price");
+  EXPECT_EQ(client.read_all(), "");
+  EXPECT_FALSE(client.reset());
+}
+
+/// The second signal changes nothing.
+TEST(Stopping, TwiceIsOnce) {
+  LineServer cache([](const std::string& line, int) { return value_for(line); });
+  RunningRouter router({.dials = {cache.address()}});
+  for (int k = 0; k < 2; ++k) router.post([](Router& r) { r.stop(); });
+  Client client(router.port());
+  client.send(read_command("a"));
+  EXPECT_EQ(client.line(), "VA 5 Oa");
+  router.join();
+}
+
+// ---- new settings ----
+
+/// A configuration that can't be used, during the change-over of one that can, changes nothing now
+/// or at its end.
+TEST(Settings, BadOnesDuringAChangeOverChangeNothing) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}});
+  Config good = router.config(), bad = router.config();
+  good.settings.max_attempts = 3;
+  bad.settings.classes[0].worth = -1;
+  bool taken = false, refused = true;
+  auto since = Steady::now();
+  router.post([&](Router& r) {
+    taken = r.reload(good);
+    refused = !r.reload(bad);
+  });
+  EXPECT_TRUE(taken);
+  EXPECT_TRUE(refused);
+  while (seconds_since(since) < 2)  // the change-over takes 1.5 s
+    router.post([](Router&) { std::this_thread::sleep_for(std::chrono::milliseconds(5)); });
+  router.post([](Router& r) {
+    EXPECT_EQ(r.config().settings.max_attempts, 3);
+    EXPECT_EQ(r.config().settings.classes[0].worth, 1);
+  });
+  Client client(router.port());
+  client.send(read_command("a"));
+  EXPECT_EQ(client.line(), "VA 5 Oa");
+}
+
+/// Another deployment's configuration takes the place of the old one whole: what is gone is served
+/// until the end of the change-over, and means nothing afterwards.
+TEST(Settings, OfAnotherDeploymentReplaceTheOldWhole) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}, .more_tenants = {"beta"}});
+  Config other = router.config();
+  auto& s = other.settings;
+  s.classes.erase(s.classes.begin() + 1);
+  s.classes[0].name = "lookup";
+  s.tenants = {{"gamma", 0.5, 10}, {"beta", 0.5, 20}};
+  s.max_attempts = 2;
+  s.second_copies = false;
+  other.links.max_open = 7;
+  auto ask = [&](const std::string& type, const std::string& tenant) {
+    Client client(router.port());
+    client.send("mg k v Ox Pc=" + type + ",t=" + tenant + ",d=1000\r\n");
+    return client.line().rfind("VA", 0) == 0;
+  };
+  auto since = Steady::now();
+  router.post([&](Router& r) { EXPECT_TRUE(r.reload(other)); });
+  EXPECT_TRUE(ask("read", "acme"));
+  EXPECT_TRUE(ask("lookup", "gamma"));
+  EXPECT_TRUE(ask("lookup", "beta"));
+  while (seconds_since(since) < 2) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  EXPECT_FALSE(ask("read", "beta"));
+  EXPECT_FALSE(ask("lookup", "acme"));
+  EXPECT_TRUE(ask("lookup", "gamma"));
+  router.post([](Router& r) {
+    const auto& now = r.config().settings;
+    EXPECT_EQ(now.classes.size(), 1u);
+    EXPECT_EQ(now.tenants.size(), 2u);
+    EXPECT_EQ(now.max_attempts, 2);
+    EXPECT_FALSE(now.second_copies);
+    EXPECT_EQ(r.most_open_requests(), 7u);
+  });
+}
+
+/// Lists that were asked for are pushed now, or the other way round: calls go by the new terms.
+TEST(Settings, ThatAskForListsOtherwiseAreGoneBy) {
+  LineServer cache(good_cache);
+  std::atomic<int> waits{0};
+  LineServer discovery([&](const std::string& line, int) {
+    if (line.rfind("GET ", 0) != 0) return std::string();
+    std::size_t at = line.find("wait=");
+    if (at != line.npos) waits = std::atoi(line.c_str() + at + 5);
+    std::string body = host_list("1", {}, false);
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\nConnection: close\r\n\r\n" + body;
+  });
+  RunningRouter router({.dials = {cache.address()}, .discovery = discovery.address()});
+  ASSERT_TRUE(router.eventually([&](Router&) { return waits > 1; }));
+  EXPECT_LT(waits, 1000);  // pushed: by parts of the grace
+  Config asked = router.config();
+  asked.settings.must_ask = true;
+  router.post([&](Router& r) { EXPECT_TRUE(r.reload(asked)); });
+  EXPECT_TRUE(router.eventually([&](Router&) { return waits > 10'000; }));
+}
+
+// ---- descriptors ----
+
+/// Idle clients take every place they can while discovery is down. Once it is back its list is
+/// heard, servers that it names are reached, and a planned end comes to its end.
+TEST(Descriptors, OfDiscoveryAndServersAreNotTakenByIdleClients) {
+  LineServer old_cache(good_cache), new_cache(good_cache);
+  std::atomic<bool> up{false};
+  std::string body = host_list("9", {host_entry("s-new", new_cache.address())});
+  LineServer discovery([&](const std::string& line, int) {
+    if (!up) return kClose;
+    if (line.rfind("GET ", 0) != 0) return std::string();
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\nConnection: close\r\n\r\n" + body;
+  });
+  rlimit before{};
+  ::getrlimit(RLIMIT_NOFILE, &before);
+  RunningRouter router(
+      {.dials = {old_cache.address()}, .discovery = discovery.address(), .sockets = 1024});
+  std::vector<std::unique_ptr<Client>> crowd;
+  for (int k = 0; k < 1500; ++k) crowd.push_back(std::make_unique<Client>(router.port()));
+  std::size_t clients = 0;
+  router.post([&](Router& r) { clients = r.client_connections(); });
+  EXPECT_GT(clients, 100u);
+  EXPECT_LE(clients + 334 + 24, 1024u);
+  up = true;
+  ASSERT_TRUE(router.eventually([](Router& r) { return r.list_version() == "9"; }));
+  for (int k = 0; k < 10; ++k) {
+    for (int n = 0; n < 50; ++n) crowd.push_back(std::make_unique<Client>(router.port()));
+    Client good(router.port());
+    good.send(read_command("a" + std::to_string(k)));
+    EXPECT_EQ(good.line(), "VA 5 Oa" + std::to_string(k));
+  }
+  EXPECT_TRUE(old_cache.lines().empty());
+  EXPECT_EQ(new_cache.lines().size(), 10u);
+  router.post([](Router& r) { r.stop(); });
+  router.join();
+}
+
+}  // namespace
+}  // namespace violetusher::net::test
--- /dev/null
+++ b/tests/net/held_io.hpp
@@ -0,0 +1,116 @@
+// The system with one call held back: what has happened on a socket is told to the router only when
+// the test says so, so that something else comes in between.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "net/system_io.hpp"
+
+namespace violetusher::net::test {
+
+/// Used in the router's thread alone (RunningRouter::post). Forwards everything but what it holds.
+class HeldIo final : public Io {
+ public:
+  explicit HeldIo(SystemIo& io) : io_(io) {}
+
+  /// While held, a connection to a server that has come up is not told to be up.
+  void hold_dials(bool on) { hold(dials_held_, on); }
+  /// While held, nobody is told that a client has sent something; who looks finds it.
+  void hold_clients(bool on) { hold(clients_held_, on); }
+
+  Micros now() const override { return io_.now(); }
+  void renew() override { io_.renew(); }
+  Socket listen(const sockaddr_in& address, std::string& error) override {
+    return io_.listen(address, error);
+  }
+  Socket adopt(int descriptor, std::string& error) override { return io_.adopt(descriptor, error); }
+  std::uint16_t port(int listener) const override { return io_.port(listener); }
+  Accepted accept(int listener, Socket& socket) override {
+    Accepted accepted = io_.accept(listener, socket);
+    if (accepted == Accepted::kOne) clients_.insert(socket.number());
+    return accepted;
+  }
+  Socket connect(const sockaddr_in& address) override {
+    Socket socket = io_.connect(address);
+    if (socket) dials_.insert(socket.number());
+    return socket;
+  }
+  bool connected(int socket) override { return io_.connected(socket); }
+  ssize_t recv(int socket, char* to, std::size_t size) override {
+    return io_.recv(socket, to, size);
+  }
+  ssize_t send(int socket, const iovec* parts, std::size_t count) override {
+    return io_.send(socket, parts, count);
+  }
+  bool has_input(int socket) override { return io_.has_input(socket); }
+  bool peer_ended(int socket) override { return io_.peer_ended(socket); }
+  void shut_sending(int socket) override { io_.shut_sending(socket); }
+  void close(int socket) override { io_.close(socket); }
+  std::unique_ptr<net::Watch> watch(int socket, net::Watch::Target& target) override {
+    bool dial = dials_.erase(socket) > 0;
+    bool client = clients_.erase(socket) > 0;
+    if (!dial && !client) return io_.watch(socket, target);
+    return std::make_unique<Held>(*this, socket, target,
+                                  dial ? net::Watch::kWritable : net::Watch::kReadable);
+  }
+  std::unique_ptr<Alarm> alarm(std::function<void()> rings) override {
+    return io_.alarm(std::move(rings));
+  }
+  std::unique_ptr<HttpGet> http(HttpGet::Done done) override { return io_.http(std::move(done)); }
+  void run_once() override { io_.run_once(); }
+
+ private:
+  class Held final : public net::Watch, net::Watch::Target {
+   public:
+    Held(HeldIo& owner, int socket, net::Watch::Target& target, unsigned what)
+        : owner_(owner), target_(target), what_(what), inner_(owner.io_.watch(socket, *this)) {
+      owner_.all_.insert(this);
+    }
+    ~Held() override { owner_.all_.erase(this); }
+    void read(bool on) override {
+      reads_ = on;
+      inner_->read(on);
+    }
+    void write_once(Micros limit) override { inner_->write_once(limit); }
+    /// What was kept back is told.
+    void go_on() {
+      if (reads_) inner_->read(true);
+      if (unsigned kept = std::exchange(kept_, 0)) target_.on_ready(kept);
+    }
+
+   private:
+    void on_ready(unsigned what) override {
+      bool held = what_ == kWritable ? owner_.dials_held_ : owner_.clients_held_;
+      if (!held || !(what & what_)) {
+        target_.on_ready(what);
+        return;
+      }
+      kept_ |= what_ == kWritable ? what : 0;  // input is still there when it is looked for again
+      if (what_ == kReadable) inner_->read(false);
+    }
+
+    HeldIo& owner_;
+    net::Watch::Target& target_;
+    unsigned what_, kept_ = 0;
+    bool reads_ = false;
+    std::unique_ptr<net::Watch> inner_;
+  };
+
+  void hold(bool& held, bool on) {
+    held = on;
+    if (on) return;
+    for (Held* one : std::set<Held*>(all_))
+      if (all_.count(one)) one->go_on();
+  }
+
+  SystemIo& io_;
+  bool dials_held_ = false, clients_held_ = false;
+  std::set<int> dials_, clients_;
+  std::set<Held*> all_;
+};
+
+}  // namespace violetusher::net::test
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -78,6 +78,8 @@
     return ended_ ? in_ : in_ + "(open)";
   }
   bool ended() const { return ended_; }
+  /// It ended by a reset, which takes along what was not read yet.
+  bool reset() const { return reset_; }
   int fd() const { return fd_.get(); }
   /// Ends the sending side alone.
   void end_sending() { ::shutdown(fd_.get(), SHUT_WR); }
@@ -88,6 +90,7 @@
     ssize_t got = ::recv(fd_.get(), bytes, sizeof bytes, 0);
     if (got <= 0) {
       ended_ = got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+      reset_ = got < 0 && ended_;
       return false;
     }
     in_.append(bytes, static_cast<std::size_t>(got));
@@ -97,7 +100,7 @@
   Fd fd_;
   std::string in_;
   bool connected_ = false;
-  bool ended_ = false;
+  bool ended_ = false, reset_ = false;
 };
 
 /// A reply that ends the connection instead.
@@ -246,7 +249,10 @@
   std::string scratch;                    ///< a folder that outlives the router
   int accept_fd = -1;                     ///< a listening socket that it inherits
   bool asked = false;                     ///< lists are asked for, not pushed
-  int routers = 2;                        ///< of the tier
+  bool may_cancel = true;
+  std::string key_ttl_us = "5000000";
+  std::string dial_timeout_us = "75000";
+  int routers = 2;  ///< of the tier
 };
 
 inline std::string config_text(const RouterOptions& o) {
@@ -254,9 +260,9 @@
   for (std::size_t k = 0; k < o.dials.size(); ++k)
     entries.push_back(host_entry("s-" + std::to_string(k), o.dials[k]));
   auto one_class = [&](const std::string& name, const std::string& effect) {
-    return R"({"Name":")" + name + R"(","Effect":")" + effect +
-           R"(","Group":"all","KeyTtlUs":5000000,"ObjectiveUs":)" + o.aim_us + R"(,"DeadlineUs":)" +
-           o.deadline_us + R"(,"Worth":1})";
+    return R"({"Name":")" + name + R"(","Effect":")" + effect + R"(","Group":"all","KeyTtlUs":)" +
+           o.key_ttl_us + R"(,"ObjectiveUs":)" + o.aim_us + R"(,"DeadlineUs":)" + o.deadline_us +
+           R"(,"Worth":1})";
   };
   std::string tenants;
   for (const std::string& name : o.more_tenants)
@@ -271,7 +277,8 @@
          (o.asked ? "subscribe" : "automatic") + R"(","Classes":[)" +
          one_class("read", "repeatable") + "," + one_class("put", "by_key") +
          R"(],"Tenants":[{"Name":"acme","Portion":1.0,"QuotaPerS":100000})" + tenants + R"(],)" +
-         R"("Limits":{"MaxAttempts":5,"MayCancel":true,"SecondCopies":true,"RetryAfter":)" +
+         R"("Limits":{"MaxAttempts":5,"DialTimeoutUs":)" + o.dial_timeout_us + R"(,"MayCancel":)" +
+         (o.may_cancel ? "true" : "false") + R"(,"SecondCopies":true,"RetryAfter":)" +
          (o.retry_after ? "true" : "false") + R"(,"MaxRetryAfterUs":1000000},)" +
          R"("Report":{"How":"inline","Fields":["load_share"]}}})";
 }
@@ -279,19 +286,22 @@
 /// A router in a thread of its own, which ends with the object.
 class RunningRouter {
  public:
-  explicit RunningRouter(const RouterOptions& options)
+  /// What the router sees of the system; HeldIo is one.
+  using Wrap = std::function<std::unique_ptr<Io>(SystemIo&)>;
+  explicit RunningRouter(const RouterOptions& options, const Wrap& wrap = {})
       : config_(parse_config(config_text(options))) {
     config_.scratch = options.scratch;
     config_.accept_fd = options.accept_fd;
     if (::pipe2(wake_, O_CLOEXEC | O_NONBLOCK) != 0) std::abort();
     std::promise<std::uint16_t> ready;
     auto port = ready.get_future();
-    thread_ = std::thread([this, &ready] {
+    thread_ = std::thread([this, &ready, &wrap] {
       EventBasePtr base(event_base_new());
       SystemIo io(base.get());
+      std::unique_ptr<Io> wrapped = wrap ? wrap(io) : nullptr;
       DescriptorSink sink;
       Log log(sink);
-      Router router(io, config_, log);
+      Router router(wrapped ? *wrapped : static_cast<Io&>(io), config_, log);
       router_ = &router;
       std::string error;
       EXPECT_TRUE(router.listen(error)) << error;
@@ -303,11 +313,15 @@
     port_ = port.get();
   }
   ~RunningRouter() {
-    post([](Router& r) { r.stop(); });
-    thread_.join();
+    if (thread_.joinable()) {
+      post([](Router& r) { r.stop(); });
+      thread_.join();
+    }
     ::close(wake_[0]);
     ::close(wake_[1]);
   }
+  /// Waits for the end of a router that was told to stop.
+  void join() { thread_.join(); }
   std::uint16_t port() const { return port_; }
   const Config& config() const { return config_; }
 
--- a/tests/net/request_core_test.cpp
+++ b/tests/net/request_core_test.cpp
@@ -74,6 +74,7 @@
     return put;
   }
   bool has_input(int socket) override { return ends[socket].ended || !ends[socket].in.empty(); }
+  bool peer_ended(int socket) override { return ends[socket].ended; }
   void shut_sending(int) override {}
   void close(int socket) override { ends[socket].open = false; }
   std::unique_ptr<Watch> watch(int socket, Watch::Target& target) override {
--- a/tests/net/server_side_test.cpp
+++ b/tests/net/server_side_test.cpp
@@ -113,7 +113,7 @@
     std::string_view in = text;
     Command command;
     ASSERT_EQ(reader.take(in, command), CommandReader::Got::Command);
-    side->send("s-0", id, 0, command, 60'000);
+    side->send("s-0", id, 0, command, io.now() + 60 * kSecond);
   }
   bool eventually(const std::function<bool()>& holds) {
     for (int k = 0; k < kPatienceMs; ++k) {
