No further attempt while one given up shares an open connection, where copies are not allowed

Cause: an attempt is given up by ending its connection (PROTOCOL). RequestCore::expire told the module Timeout, and it sent the next one, while ServerSide::cancel left the connection open for others on it: the first was still out. With few connections for each router of a large fleet they are shared all the time. Ruled out: second copies by the module's timer (not set there), repeats after resets.

Changed: where there may be no second copy, an attempt that shares its connection goes on past its time limit; with the last of them overdue the connection ends, all are told Timeout and tried elsewhere. Elsewhere nothing changes.

Test: Repeats.DoNotBeginWhileTheAttemptGivenUpIsStillOutForItsNeighbours.

--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -262,6 +262,10 @@
     Attempt& a = open->attempts[k];
     int attempt = static_cast<int>(k);
     if (!a.out || attempt == open->streaming || (!all && attempt != due.attempt)) continue;
+    // Where there may be no second copy the next attempt waits until this one is over, and one
+    // whose connection stays open for others is not.
+    bool alone = all || p_.config.settings.second_copies;
+    if (!alone && !p_.servers.may_give_up(a.server, open->id, attempt)) continue;
     Status status = p_.servers.cancel(a.server, open->id, attempt);
     note(Kind::kCancelled, open->id, attempt, 0, static_cast<std::int64_t>(status), {},
          Why::kDeadline);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -244,7 +244,7 @@
 
 bool ServerConnection::forsaken() const {
   for (std::size_t k = 0; k < entries_.size(); ++k)
-    if (entries_[k].live) return false;
+    if (entries_[k].live && !entries_[k].overdue) return false;
   return true;
 }
 
@@ -254,6 +254,7 @@
   e.id = id;
   e.attempt = attempt;
   e.live = true;
+  e.overdue = false;
   e.set = command.set;
   e.begun = false;
   e.type = side_.account_ ? side_.account_->type_of(command.type) : 0;
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -26,7 +26,8 @@
   struct Entry {
     RequestId id = 0;
     int attempt = 0;
-    bool live = true;  // somebody waits for it
+    bool live = true;      // somebody waits for it
+    bool overdue = false;  // nobody would if it could be given up alone: ServerSide::may_give_up()
     bool set = false;
     std::string answer_id;                   // that its answer must bear
     std::string bytes;                       // of the command; given up once written
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -190,6 +190,13 @@
   return true;
 }
 
+bool ServerSide::may_give_up(const std::string& server, RequestId id, int attempt) {
+  auto [c, place] = find(server, id, attempt);
+  if (!c || !c->begun(place)) return true;
+  c->entries_[place].overdue = true;
+  return c->forsaken();
+}
+
 Status ServerSide::cancel(const std::string& server, RequestId id, int attempt) {
   if (withdraw(server, id, attempt)) return Status::Moot;
   auto [c, place] = find(server, id, attempt);
@@ -238,7 +245,10 @@
   for (std::size_t k = 0; k < c.entries_.size(); ++k) {
     ServerConnection::Entry& e = c.entries_[k];
     if (e.live)
-      handler_.on_attempt_end(e.id, e.attempt, k < c.sent_ ? broken : Status::ConnectFailed,
+      handler_.on_attempt_end(e.id, e.attempt,
+                              k >= c.sent_ ? Status::ConnectFailed
+                              : e.overdue  ? Status::Timeout
+                                           : broken,
                               Answer());
   }
   c.entries_.clear();
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -63,6 +63,10 @@
             Micros given_up, Micros until = violetusher::Send::kAnyTime);
   /// Takes an attempt back of which nothing is written yet; false where there is none.
   bool withdraw(const std::string& server, RequestId id, int attempt);
+  /// Whether cancel() would end the attempt's connection, which alone tells the server that it is
+  /// given up. Where it is not, as others on that connection still wait, the attempt goes on; it is
+  /// given up with the last of them, and told as Timeout.
+  bool may_give_up(const std::string& server, RequestId id, int attempt);
   /// Gives an attempt up: Moot where nothing of it was sent whole, Cancelled where it may have run.
   Status cancel(const std::string& server, RequestId id, int attempt);
   /// The long value of the attempt may go on coming.
--- a/tests/core/membership/calls_test.cpp
+++ b/tests/core/membership/calls_test.cpp
@@ -355,6 +355,22 @@
   }
 }
 
+/// What it has counts as told in 4 s. A first call that falls silent is not waited for alone.
+TEST(Membership, AnotherDiscoveryIsAskedTwiceWhereItSaysNothing) {
+  World w(terms_asked());
+  w.settle();
+  w.calls.move(w.now);
+  Micros moved = w.now;
+  w.made.clear(), w.given_up.clear();
+  while (w.made.empty()) w.run(*w.calls.next());
+  EXPECT_LE(w.now - moved, 2 * kS);
+  ASSERT_EQ(w.out.size(), 2u);
+  EXPECT_EQ(w.made[0].version, "");
+  EXPECT_TRUE(w.given_up.empty());  // the first may wait for its turn
+  EXPECT_EQ(w.answer(w.made[0].place, "9", true), Take::kYes);
+  EXPECT_EQ(w.calls.held(), "9");
+}
+
 /// What of a list can be used is used, and the rest asked for again from the version before.
 TEST(Membership, AListOfWhichAPartIsUnusableIsAskedForAgain) {
   World w(terms_pushed(kS / 2));
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -222,6 +222,43 @@
   }
 }
 
+/// Where second copies are not allowed an attempt is over when its server can tell: one that shares
+/// its connection with others that still wait is not, and no other attempt is made meanwhile. Once
+/// all of them are overdue the connection ends, and all are tried elsewhere.
+TEST(Repeats, DoNotBeginWhileTheAttemptGivenUpIsStillOutForItsNeighbours) {
+  std::atomic<int> hangs{-1};
+  auto reply = [&](int self) {
+    return [&hangs, self](const std::string& line, int) {
+      int none = -1;
+      hangs.compare_exchange_strong(none, self);
+      return hangs == self ? std::string() : value_for(line);
+    };
+  };
+  LineServer one(reply(0)), two(reply(1));
+  RunningRouter router({.dials = {one.address(), two.address()},
+                        .aim_us = "600000",
+                        .second_copies = false,
+                        .streams = 4,
+                        .routers = 300});  // one connection to each server
+  Client first(router.port()), second(router.port());
+  first.send(read_command("a", "k1", "1900"));
+  ASSERT_TRUE(router.eventually([&](Router&) { return hangs >= 0; }));
+  const LineServer& stuck = hangs == 0 ? one : two;
+  const LineServer& other = hangs == 0 ? two : one;
+  auto since = Steady::now();
+  while (seconds_since(since) < 0.3) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  second.send(read_command("b", "k1", "1900"));
+  ASSERT_TRUE(router.eventually([&](Router&) { return stuck.lines().size() == 2; }));
+  EXPECT_EQ(stuck.connections(), 1);
+  // The first one's time limit of 0.6 s is over, the second one's not yet.
+  while (seconds_since(since) < 0.75) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  EXPECT_TRUE(other.lines().empty());
+  EXPECT_EQ(first.line(), "VA 5 Oa");
+  EXPECT_EQ(second.line(), "VA 5 Ob");
+  EXPECT_GE(seconds_since(since), 0.85);
+  EXPECT_EQ(other.lines().size(), 2u);
+}
+
 // ---- planned end ----
 
 /// SIGKILL comes 0.7 s after the longest deadline, and no later than 3.7 s after SIGTERM however
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -250,6 +250,8 @@
   int accept_fd = -1;                     ///< a listening socket that it inherits
   bool asked = false;                     ///< lists are asked for, not pushed
   bool may_cancel = true;
+  bool second_copies = true;
+  int streams = 1;  ///< of one connection
   std::string key_ttl_us = "5000000";
   std::string dial_timeout_us = "75000";
   int routers = 2;  ///< of the tier
@@ -277,8 +279,10 @@
          (o.asked ? "subscribe" : "automatic") + R"(","Classes":[)" +
          one_class("read", "repeatable") + "," + one_class("put", "by_key") +
          R"(],"Tenants":[{"Name":"acme","Portion":1.0,"QuotaPerS":100000})" + tenants + R"(],)" +
-         R"("Limits":{"MaxAttempts":5,"DialTimeoutUs":)" + o.dial_timeout_us + R"(,"MayCancel":)" +
-         (o.may_cancel ? "true" : "false") + R"(,"SecondCopies":true,"RetryAfter":)" +
+         R"("Limits":{"MaxAttempts":5,"StreamsPerConn":)" + std::to_string(o.streams) +
+         R"(,"DialTimeoutUs":)" + o.dial_timeout_us + R"(,"MayCancel":)" +
+         (o.may_cancel ? "true" : "false") + R"(,"SecondCopies":)" +
+         (o.second_copies ? "true" : "false") + R"(,"RetryAfter":)" +
          (o.retry_after ? "true" : "false") + R"(,"MaxRetryAfterUs":1000000},)" +
          R"("Report":{"How":"inline","Fields":["load_share"]}}})";
 }
--- a/tests/policy/fleet_test.cpp
+++ b/tests/policy/fleet_test.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
+#include <cstdio>
 #include <map>
 #include <random>
 #include <set>
@@ -318,5 +320,67 @@
   EXPECT_EQ(found, 1000);
 }
 
+/// What one cold server gets of all routers together, in the worst window, over what it bears then
+/// (FLEET: N + 2 x root of N + 2 requests of mean work): a steady load of 0.8 of what the fleet can
+/// do, half as much again from the start of the cold server on, and one key in two of five
+/// requests.
+double worst_on_a_cold_server(int routers, double cold_share, double factor) {
+  constexpr int kServers = 12;
+  constexpr double kCapacity = 50;  // requests a second of one server
+  Settings s = basic_settings();
+  s.routers = routers;
+  s.cold_share = cold_share;
+  s.cold_time = 8 * kS;
+  s.overload_factor = factor;
+  s.tip_after = 1500 * kMs;
+  std::vector<Server> servers = fleet(kServers);
+  std::vector<Balancer> all;
+  for (int r = 0; r < routers; ++r) {
+    all.emplace_back(s, static_cast<std::uint64_t>(r) + 1, 0);
+    all.back().start(0);
+    all.back().on_list(0, ListScope::Full, servers);
+  }
+  std::mt19937 draw(5);
+  std::uniform_real_distribution<double> part(0, 1);
+  std::vector<Micros> got;
+  const Micros born = 12 * kS;
+  const std::string cold = servers[3].id;
+  RequestId id = 0;
+  bool told = false;
+  for (Micros now = 0; now < born + 9 * kS;) {
+    double rate = 0.8 * kServers * kCapacity * (now < born ? 1 : 1.5);
+    now += static_cast<Micros>(-std::log(1 - part(draw)) * kS / rate);
+    if (!told && now >= born) {
+      told = true;
+      servers[3].up_since = born;
+      for (Balancer& b : all) b.on_list(now, ListScope::Delta, {servers[3]});
+    }
+    Balancer& b = all[draw() % all.size()];
+    // The popular keys of before, and from the start on one that is asked for far more.
+    double u = part(draw);
+    std::string key = now >= born && u < 0.4
+                          ? "hot"
+                          : "price-" + std::to_string(static_cast<int>(3000 * u * u * u));
+    if (serve(b, now, ++id, key) == cold && now >= born) got.push_back(now);
+  }
+  double worst = 0;
+  for (std::size_t first = 0, last = 0; last < got.size(); ++last) {
+    while (got[last] - got[first] > s.tip_after) ++first;
+    double age = static_cast<double>(got[last] - born) / static_cast<double>(s.cold_time);
+    double n = factor * kCapacity * std::min(1.0, cold_share + (1 - cold_share) * age) * 1.5;
+    worst = std::max(worst, static_cast<double>(last - first + 1) / (n + 2 * std::sqrt(n) + 2));
+  }
+  return worst;
+}
+
+TEST(ManyRouters, TogetherSendAColdServerNoMoreThanItBears) {
+  for (int routers : {1, 4, 30, 120})
+    for (double factor : {1.2, 2.0, 4.0}) {
+      double worst = worst_on_a_cold_server(routers, 0.15, factor);
+      std::printf("%d routers, factor %.1f: %.2f of what it bears\n", routers, factor, worst);
+      EXPECT_LE(worst, 1) << routers << " routers, factor " << factor;
+    }
+}
+
 }  // namespace
 }  // namespace violetusher::test
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -719,5 +719,71 @@
   EXPECT_EQ(message([](Settings& s) { s.zone = "elsewhere"; }), "");
 }
 
+/// Protects against: one tenant refused for what another has sent, where new settings list them in
+/// another order.
+TEST(Admission, KeepsWhatItKnowsOfATenantUnderItsName) {
+  Settings s = basic_settings();
+  s.tenants = {{"modest", 0.5, 10}, {"greedy", 0.5, 10}};
+  Balancer b(s, 1, 0);
+  b.start(0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  RequestId id = 0;
+  auto ask = [&](Micros now, const std::string& tenant) {
+    Request r = read_of(++id, "k" + std::to_string(id));
+    r.tenant = tenant;
+    return sent_to(b.on_request(now, r));
+  };
+  Micros now = 0;
+  for (; now < kS; now += 5 * kMs) {  // all of it fails, so that the doors begin to close
+    std::string server = ask(now, "greedy");
+    for (int attempt = 0; !server.empty(); ++attempt)
+      server = sent_to(b.on_outcome(now, ended(id, server, Status::Error, attempt)));
+  }
+  std::swap(s.tenants[0], s.tenants[1]);
+  b.retune(s);
+  int modest = 0, greedy = 0;
+  for (int k = 0; k < 300; ++k) {
+    modest += ask(now, "modest").empty();
+    greedy += ask(now, "greedy").empty();
+  }
+  EXPECT_GT(greedy, modest + 20);
+}
+
+/// A repeat of a keyed request that may have run says until when it may begin: it may have to wait
+/// for a connection.
+TEST(Attempts, OfAKeyedRequestSayUntilWhenTheyMayBegin) {
+  Settings s = basic_settings();
+  s.classes[0].effect = Effect::Keyed;
+  s.classes[0].key_ttl = 400 * kMs;
+  Balancer b(s, 1, 0);
+  b.start(0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  auto first = all<Send>(b.on_request(10 * kMs, read_of(1, "k")));
+  ASSERT_EQ(first.size(), 1u);
+  EXPECT_EQ(first[0].until, Send::kAnyTime);
+  auto second =
+      all<Send>(b.on_outcome(30 * kMs, ended(1, first[0].server, Status::Reset, 0, 20 * kMs)));
+  ASSERT_EQ(second.size(), 1u);
+  EXPECT_EQ(second[0].until, 408 * kMs);
+}
+
+/// Protects against: a list older than what counts as told, as the pause after failed calls had
+/// grown past the 6 s after which all that discovery has does.
+TEST(List, PausesAfterFailedCallsDoNotGrow) {
+  Settings s = basic_settings();
+  s.must_ask = true;
+  Balancer b(s, 7, 0);
+  b.start(0);
+  Micros now = 0;
+  for (int k = 0; k < 20; ++k) {
+    auto timers = all<Timer>(b.on_list(now, ListScope::Failed, {}));
+    ASSERT_EQ(timers.size(), 1u);
+    EXPECT_LE(timers[0].after, 1500 * kMs);
+    EXPECT_GE(timers[0].after, 500 * kMs);
+    now += timers[0].after;
+    b.on_timer(now, timers[0].token);
+  }
+}
+
 }  // namespace
 }  // namespace violetusher::test
