--- a/tests/core/membership/calls_test.cpp
+++ b/tests/core/membership/calls_test.cpp
@@ -4,8 +4,11 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -419,6 +422,8 @@
   }
   void start(Calls::Place place, const std::string&, Micros wait) override {
     ++made;
+    if (queued && wait <= kS) queued(place, made);
+    serial[place] = made;
     out[place] = wait > kS ? at + wait : at;
   }
   void drop(Calls::Place place) override { out.erase(place); }
@@ -446,22 +451,80 @@
     for (auto place : {Calls::kWatch0, Calls::kWatch1, Calls::kWatch2}) {
       auto it = out.find(place);
       if (it == out.end() || (!down && it->second > now)) continue;
-      out.erase(it);
-      calls.answered(place, now, {.sound = !down, .list = !down, .version = "7"});
-      if (!down) tell_module(now, violetusher::ListScope::Delta);
+      if (!queued) answer(place, now, !down);
     }
     if (std::exchange(failed, false)) tell_module(now, violetusher::ListScope::Failed);
   }
+  void answer(Calls::Place place, Micros now, bool good) {
+    out.erase(place);
+    calls.answered(place, now, {.sound = good, .list = good, .version = "7"});
+    if (good) tell_module(now, violetusher::ListScope::Delta);
+  }
 
   violetusher::Balancer module;
   std::multimap<Micros, std::uint64_t> timers;
   std::map<Calls::Place, Micros> out;  ///< and when discovery answers, where it can
   Micros at = 0;
   int made = 0;
+  std::map<Calls::Place, int> serial;  ///< of the calls made, the one that is out at a place
+  /// Where set, calls that do not wait are answered by the test.
+  std::function<void(Calls::Place, int serial)> queued;
   bool failed = false;
   Calls calls;
 };
 
+/// Protects against: routers that start together at a discovery that takes 8 s for a call from
+/// each, lets calls wait for 3 s and turns others away. Calls that were let go after 2 s had lost
+/// their place, were worked through all the same, and with pauses that doubled behind them some
+/// routers had their first list after 21 s.
+TEST(Membership, RoutersThatStartTogetherHaveTheirListsAsFastAsDiscoveryCanTell) {
+  violetusher::Settings settings;
+  settings.classes.push_back({});
+  settings.classes[0].name = "read";
+  settings.must_ask = true;
+  constexpr int kRouters = 32;
+  constexpr Micros kEach = 8 * kS / kRouters, kMostWait = 3 * kS;
+  settings.routers = kRouters;
+  struct Queued {
+    std::size_t router;
+    Calls::Place place;
+    int serial;
+  };
+  Micros began = 1000 * kS, now = began, busy_until = began;
+  std::deque<Queued> queue;
+  std::vector<Queued> refused;
+  std::vector<std::unique_ptr<AskingRouter>> routers;
+  for (std::size_t k = 0; k < kRouters; ++k) {
+    routers.push_back(std::make_unique<AskingRouter>(settings, k + 1, began));
+    routers.back()->queued = [&, k](Calls::Place place, int serial) {
+      bool full = static_cast<Micros>(queue.size() + 1) * kEach > kMostWait;
+      if (full)
+        refused.push_back({k, place, serial});
+      else
+        queue.push_back({k, place, serial});
+    };
+  }
+  auto answer = [&](const Queued& call, bool good) {
+    AskingRouter& r = *routers[call.router];
+    if (r.out.count(call.place) && r.serial[call.place] == call.serial)
+      r.answer(call.place, now, good);
+  };
+  std::set<std::size_t> told;
+  for (; now < began + 60 * kS && told.size() < kRouters; now += 10 * kMs) {
+    for (auto& r : routers) r->step(now, false);
+    for (const Queued& call : std::exchange(refused, {})) answer(call, false);
+    if (now < busy_until || queue.empty()) continue;
+    Queued call = queue.front();
+    queue.pop_front();
+    busy_until = now + kEach;  // also for one that nobody waits for any more
+    answer(call, true);
+    if (routers[call.router]->calls.heard_at() == now) told.insert(call.router);
+  }
+  std::printf("32 routers: all have their list after %.1f s\n",
+              static_cast<double>(now - began) / 1e6);
+  EXPECT_LE(now - began, 12 * kS);
+}
+
 /// Down for 8 s, and back: 6 s later what it has counts as told to all, whatever failed before and
 /// though the first call of each fails once more, as they come together. Pauses that doubled up to
 /// 8 s left some routers with a list 12 s old.
--- a/tests/daemon/reload_test.cpp
+++ b/tests/daemon/reload_test.cpp
@@ -76,6 +76,7 @@
       std::atoi(said.c_str() + said.find("127.0.0.1:") + std::string("127.0.0.1:").size()));
   for (const std::string& text : {std::string("{"), std::string("[]"), good}) {
     said.clear();
+    ::kill(child, SIGUSR1);  // means nothing here
     write(text);
     ::kill(child, SIGHUP);
     EXPECT_TRUE(wait_for("reload: ")) << text;
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -52,10 +52,13 @@
 TEST(ClientGone, AnAttemptThatWaitsForItsDialIsTakenBack) {
   for (bool may_cancel : {true, false}) {
     LineServer cache(good_cache);
-    Held held({.dials = {cache.address()}, .may_cancel = may_cancel});
+    Held held({.dials = {cache.address()},
+               .deadline_us = "90000000",
+               .aim_us = "80000000",
+               .may_cancel = may_cancel});
     held.hold_dials(true);
     auto client = std::make_unique<Client>(held.router.port());
-    client->send(read_command("gone"));
+    client->send(read_command("gone", "k1", "90000"));
     ASSERT_TRUE(held.router.eventually(
         [](Router& r) { return r.open_requests() == 1 && r.server_connections() == 1; }));
     client.reset();
@@ -71,10 +74,13 @@
 /// The same of an attempt that waits behind others, with the client's end a reset.
 TEST(ClientGone, AResetIsAClose) {
   LineServer cache(good_cache);
-  Held held({.dials = {cache.address()}, .may_cancel = false});
+  Held held({.dials = {cache.address()},
+             .deadline_us = "90000000",
+             .aim_us = "80000000",
+             .may_cancel = false});
   held.hold_dials(true);
   auto client = std::make_unique<Client>(held.router.port());
-  client->send(read_command("gone"));
+  client->send(read_command("gone", "k1", "90000"));
   ASSERT_TRUE(held.router.eventually([](Router& r) { return r.open_requests() == 1; }));
   linger at_once{1, 0};
   ::setsockopt(client->fd(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
@@ -279,11 +285,12 @@
 /// A client that goes on sending up to the end reads its answer, and no reset takes it along.
 TEST(Stopping, AnswersAreNotTakenAlongByAReset) {
   LineServer cache(never);
-  RunningRouter router({.dials = {cache.address()}, .deadline_us = "600000", .aim_us = "500000"});
+  RunningRouter router(
+      {.dials = {cache.address()}, .deadline_us = "20000000", .aim_us = "15000000"});
   Client client(router.port());
   std::string noise;
   for (int k = 0; k < 20'000; ++k) noise += "mn\r\n";
-  client.send(read_command("a", "k1", "600"));
+  client.send(read_command("a", "k1", "19000"));
   ASSERT_TRUE(router.eventually([&](Router&) { return cache.lines().size() == 1; }));
   router.post([](Router& r) { r.stop(); });
   std::thread sender([&] { client.send(noise); });
@@ -307,6 +314,25 @@
   EXPECT_LT(seconds_since(told), 2);  // 0.5 s until it stops listening, and 0.2 s for a first word
 }
 
+/// Half a command is waited for, but not past the last moment.
+TEST(Stopping, AHalfCommandEndsWithTheLastMoment) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}, .deadline_us = "300000", .aim_us = "200000"});
+  Client half(router.port());
+  half.send(read_command("a"));
+  EXPECT_EQ(half.line(), "VA 5 Oa");
+  EXPECT_EQ(half.line(), "price");
+  half.send("mg k1 v Ob Pc=re");
+  auto told = Steady::now();
+  router.post([](Router& r) { r.stop(); });
+  EXPECT_EQ(half.read_all(), "");
+  EXPECT_TRUE(half.ended());
+  EXPECT_FALSE(half.reset());
+  EXPECT_GT(seconds_since(told), 0.8);  // deadline and 0.6 s
+  EXPECT_LT(seconds_since(told), 1.0);  // SIGKILL
+  EXPECT_EQ(ids_of(cache), Ids{"a"});
+}
+
 /// What has come on a connection by the time it is closed was taken, however much it is: all of it
 /// is answered.
 TEST(Stopping, ReadsAllThatHasComeBeforeItCloses) {
