Put the planned end's two bounds back: they are the platform's own limits

Those figures are when SIGKILL may come, so a router that answers too late would have passed. The margin on this machine is small (3.66 and 0.95 s measured); where that is too near, the router has to end earlier or the test to count in the router's own time.

--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -279,7 +279,7 @@
   auto told = Steady::now();
   router.post([](Router& r) { r.stop(); });
   EXPECT_EQ(client.line(), "SERVER_ERROR failed");
-  EXPECT_LT(seconds_since(told), 4.2);  // as soon as 3.6 s; the rest is a loaded machine's
+  EXPECT_LT(seconds_since(told), 3.7);
 }
 
 /// A client that goes on sending up to the end reads its answer, and no reset takes it along.
@@ -329,7 +329,7 @@
   EXPECT_TRUE(half.ended());
   EXPECT_FALSE(half.reset());
   EXPECT_GT(seconds_since(told), 0.8);  // deadline and 0.6 s
-  EXPECT_LT(seconds_since(told), 1.5);  // SIGKILL comes at 1.0 s; the rest is a loaded machine's
+  EXPECT_LT(seconds_since(told), 1.0);  // SIGKILL
   EXPECT_EQ(ids_of(cache), Ids{"a"});
 }
 
