--- a/src/kit/faults/preload.cpp
+++ b/src/kit/faults/preload.cpp
@@ -112,6 +112,7 @@
 
   void began() {
     used_.assign(script_.rules.size(), 0);
+    met_.assign(script_.rules.size(), 0);
     random_ = script_.seed + static_cast<std::uint64_t>(::getpid());
   }
 
@@ -155,10 +156,10 @@
     return path && std::strstr(path, rule.path.c_str());
   }
 
-  void apply(std::size_t number, Call call, int fd, const char* path, Micros at,
-             Outcome& outcome) {
+  void apply(std::size_t number, Call call, int fd, const char* path, Micros at, Outcome& outcome) {
     const Rule& rule = script_.rules[number];
     if (!rule.names(call) || !rule.holds_at(at) || !concerns(rule, fd, path)) return;
+    if (++met_[number] <= rule.skip) return;
     if (rule.times > 0 && used_[number] >= rule.times) return;
     if (rule.chance < 1 && draw() >= rule.chance) return;
     ++used_[number];
@@ -176,11 +177,11 @@
                              static_cast<double>(at) / kSecond, ::getpid(), name_of(call), fd,
                              rule.errors.empty() ? (rule.short_count ? "short" : "delay") : "error",
                              rule.line, path ? " path=" : "", path ? path : "");
-    long log = ::syscall(SYS_openat, AT_FDCWD, log_path_,
-                         O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
+    long log =
+        ::syscall(SYS_openat, AT_FDCWD, log_path_, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
     if (log < 0) return;
-    ::syscall(SYS_write, log, text, std::min<std::size_t>(static_cast<std::size_t>(size),
-                                                          sizeof text - 1));
+    ::syscall(SYS_write, log, text,
+              std::min<std::size_t>(static_cast<std::size_t>(size), sizeof text - 1));
     ::syscall(SYS_close, log);
   }
 
@@ -194,7 +195,8 @@
   Micros origin_ = 0, look_at_ = 0;
   std::mutex mutex_;
   Script script_;
-  std::vector<std::uint64_t> used_;
+  std::vector<std::uint64_t> used_,
+      met_;  // by rule: calls that it struck, and that it was asked about
   std::uint64_t random_ = 0;
   struct stat seen_ {};
 };
@@ -243,8 +245,8 @@
                     off64_t offset) {
   std::size_t most;
   if (!may_go_on(call, fd, nullptr, most)) return -1;
-  return next<ssize_t (*)(int, Buffer, std::size_t, off64_t)>(name)(
-      fd, bytes, std::min(length, most), offset);
+  return next<ssize_t (*)(int, Buffer, std::size_t, off64_t)>(name)(fd, bytes,
+                                                                    std::min(length, most), offset);
 }
 
 ssize_t transfer_parts(Call call, const char* name, int fd, const iovec* parts, int count) {
@@ -320,9 +322,7 @@
   return transfer_parts(Call::kWritev, "writev", fd, parts, count);
 }
 
-int fsync(int fd) {
-  return may_go_on(Call::kFsync, fd) ? next<int (*)(int)>("fsync")(fd) : -1;
-}
+int fsync(int fd) { return may_go_on(Call::kFsync, fd) ? next<int (*)(int)>("fsync")(fd) : -1; }
 
 int fdatasync(int fd) {
   return may_go_on(Call::kFdatasync, fd) ? next<int (*)(int)>("fdatasync")(fd) : -1;
--- a/src/kit/faults/script.cpp
+++ b/src/kit/faults/script.cpp
@@ -11,10 +11,10 @@
 namespace {
 
 constexpr std::array<const char*, static_cast<std::size_t>(Call::kCount)> kCallNames = {
-    "open",      "read",     "pread",      "write",     "pwrite",  "readv",
-    "writev",    "fsync",    "fdatasync",  "ftruncate", "rename",  "flock",
-    "socket",    "accept4",  "connect",    "recv",      "send",    "sendmsg",
-    "getsockopt", "epoll_wait", "epoll_ctl", "poll",    "clock"};
+    "open",       "read",       "pread",     "write",     "pwrite", "readv",
+    "writev",     "fsync",      "fdatasync", "ftruncate", "rename", "flock",
+    "socket",     "accept4",    "connect",   "recv",      "send",   "sendmsg",
+    "getsockopt", "epoll_wait", "epoll_ctl", "poll",      "clock"};
 
 struct ErrnoName {
   const char* name;
@@ -22,14 +22,30 @@
 };
 
 constexpr ErrnoName kErrnoNames[] = {
-    {"EACCES", EACCES},         {"EADDRNOTAVAIL", EADDRNOTAVAIL}, {"EAGAIN", EAGAIN},
-    {"ECONNABORTED", ECONNABORTED}, {"ECONNREFUSED", ECONNREFUSED}, {"ECONNRESET", ECONNRESET},
-    {"EDQUOT", EDQUOT},         {"EHOSTUNREACH", EHOSTUNREACH},   {"EINTR", EINTR},
-    {"EIO", EIO},               {"EISDIR", EISDIR},               {"EMFILE", EMFILE},
-    {"ENETDOWN", ENETDOWN},     {"ENETUNREACH", ENETUNREACH},     {"ENFILE", ENFILE},
-    {"ENOBUFS", ENOBUFS},       {"ENOENT", ENOENT},               {"ENOMEM", ENOMEM},
-    {"ENOSPC", ENOSPC},         {"EPERM", EPERM},                 {"EPIPE", EPIPE},
-    {"EPROTO", EPROTO},         {"EROFS", EROFS},                 {"ETIMEDOUT", ETIMEDOUT},
+    {"EACCES", EACCES},
+    {"EADDRNOTAVAIL", EADDRNOTAVAIL},
+    {"EAGAIN", EAGAIN},
+    {"ECONNABORTED", ECONNABORTED},
+    {"ECONNREFUSED", ECONNREFUSED},
+    {"ECONNRESET", ECONNRESET},
+    {"EDQUOT", EDQUOT},
+    {"EHOSTUNREACH", EHOSTUNREACH},
+    {"EINTR", EINTR},
+    {"EIO", EIO},
+    {"EISDIR", EISDIR},
+    {"EMFILE", EMFILE},
+    {"ENETDOWN", ENETDOWN},
+    {"ENETUNREACH", ENETUNREACH},
+    {"ENFILE", ENFILE},
+    {"ENOBUFS", ENOBUFS},
+    {"ENOENT", ENOENT},
+    {"ENOMEM", ENOMEM},
+    {"ENOSPC", ENOSPC},
+    {"EPERM", EPERM},
+    {"EPIPE", EPIPE},
+    {"EPROTO", EPROTO},
+    {"EROFS", EROFS},
+    {"ETIMEDOUT", ETIMEDOUT},
 };
 
 constexpr Micros kMillisecond = 1000, kSecond = 1'000'000;
@@ -75,8 +91,7 @@
 std::optional<Number> number_of(const std::string& text) {
   Number value{};
   auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (text.empty() || error != std::errc() || end != text.data() + text.size())
-    return std::nullopt;
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
   return value;
 }
 
@@ -127,10 +142,10 @@
       rule.errors.push_back(*number);
       offset += name.size() + 1;
     }
-  } else if (key == "short" || key == "times") {
+  } else if (key == "short" || key == "times" || key == "skip") {
     auto number = number_of<std::uint64_t>(value);
     if (!number || *number == 0) line.fail("'" + value + "' is no number above 0", offset);
-    (key == "short" ? rule.short_count : rule.times) = *number;
+    (key == "short" ? rule.short_count : key == "times" ? rule.times : rule.skip) = *number;
   } else if (key == "chance") {
     auto number = number_of<double>(value);
     if (!number || !(*number > 0 && *number <= 1))
--- a/src/kit/faults/script.hpp
+++ b/src/kit/faults/script.hpp
@@ -7,8 +7,8 @@
 //     sendmsg delay=100ms times=5
 //     clock step=-1h from=3s
 //
-// Times count from the origin that the process is given, see preload.hpp. docs/operators/faults.md has
-// every key.
+// Times count from the origin that the process is given, see preload.hpp. docs/operators/faults.md
+// has every key.
 #pragma once
 
 #include <cstdint>
@@ -62,14 +62,15 @@
 
 struct Rule {
   std::vector<Call> calls;
-  std::string path;             ///< part of the file's name; empty: any descriptor
-  std::vector<int> errors;      ///< one of them is drawn
-  std::size_t short_count = 0;  ///< bytes that the call may transfer at most; 0: no bound
-  Micros delay = 0;             ///< before the call
-  Micros step = 0;              ///< of the wall clock
-  Micros from = 0, until = 0;   ///< until 0: for good
+  std::string path;                ///< part of the file's name; empty: any descriptor
+  std::vector<int> errors;         ///< one of them is drawn
+  std::size_t short_count = 0;     ///< bytes that the call may transfer at most; 0: no bound
+  Micros delay = 0;                ///< before the call
+  Micros step = 0;                 ///< of the wall clock
+  Micros from = 0, until = 0;      ///< until 0: for good
   Micros every = 0, for_span = 0;  ///< within from and until, the first `for_span` of each `every`
   double chance = 1;
+  std::uint64_t skip = 0;   ///< so many calls first that it leaves alone
   std::uint64_t times = 0;  ///< so many calls at most; 0: any number
   int line = 0;
 
--- /dev/null
+++ b/tests/daemon/process_support.hpp
@@ -0,0 +1,254 @@
+// The program itself for tests: started with a configuration of its own, perhaps under the fault
+// library, its log read, and ended with the object; and a discovery that holds watches.
+#pragma once
+
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <list>
+#include <nlohmann/json.hpp>
+
+#include "../net/net_support.hpp"
+
+namespace violetusher::net::test {
+
+inline void sleep_ms(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+
+/// Waits until `holds` is true, for `limit_ms` at most.
+inline bool within(int limit_ms, const std::function<bool()>& holds) {
+  auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(limit_ms);
+  do {
+    if (holds()) return true;
+    sleep_ms(5);
+  } while (std::chrono::steady_clock::now() < end);
+  return holds();
+}
+
+/// A folder that goes with the object.
+class Scratch {
+ public:
+  Scratch() {
+    std::string pattern = ::testing::TempDir() + "/violetusher-XXXXXX";
+    path_ = ::mkdtemp(pattern.data());
+  }
+  Scratch(const Scratch&) = delete;
+  Scratch& operator=(const Scratch&) = delete;
+  ~Scratch() { std::filesystem::remove_all(path_); }
+  const std::string& path() const { return path_; }
+  std::string file(const std::string& name) const { return path_ + "/" + name; }
+  /// Under the name at once and whole, as an editor or a roll-out puts it there.
+  void write(const std::string& name, const std::string& text) const {
+    std::string fresh = file("." + name);
+    std::ofstream(fresh, std::ios::trunc) << text;
+    std::filesystem::rename(fresh, file(name));
+  }
+  std::string read(const std::string& name) const {
+    std::ifstream in(file(name));
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+
+ private:
+  std::string path_;
+};
+
+/// One daemon. Its folder holds config.json, which the test writes, faults, its log, and what it
+/// keeps itself.
+class Daemon {
+ public:
+  struct Options {
+    bool faults = false;  ///< runs under the fault library, by the script "faults" in the folder
+    std::vector<std::string> arguments;
+    std::vector<std::string> environment;  ///< NAME=VALUE
+  };
+
+  Daemon(const Scratch& folder, Options options) : folder_(folder) { start(options); }
+  explicit Daemon(const Scratch& folder) : Daemon(folder, Options()) {}
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+  ~Daemon() {
+    if (pid_ > 0) kill();
+  }
+
+  pid_t pid() const { return pid_; }
+  void signal(int number) { ::kill(pid_, number); }
+  void kill() {
+    signal(SIGKILL);
+    wait();
+  }
+  /// Its exit code, or minus the signal that ended it.
+  int wait() {
+    int status = 0;
+    ::waitpid(pid_, &status, 0);
+    pid_ = -1;
+    return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
+  }
+  std::string log() const { return folder_.read(log_name_); }
+  bool says(const std::string& what, int limit_ms = kPatienceMs) const {
+    return within(limit_ms, [&] { return log().find(what) != std::string::npos; });
+  }
+  /// Its port for clients, once it listens; 0 where it does not come to that.
+  std::uint16_t port() const {
+    const std::string mark = "listens on 127.0.0.1:";
+    if (!says(mark)) return 0;
+    std::string text = log();
+    return static_cast<std::uint16_t>(std::atoi(text.c_str() + text.find(mark) + mark.size()));
+  }
+
+ private:
+  void start(const Options& options) {
+    static int number = 0;
+    log_name_ = "log-" + std::to_string(++number);
+    std::string log = folder_.file(log_name_);
+    std::vector<std::string> settings = options.environment;
+    settings.push_back("NODE_CONFIG=" + folder_.file("config.json"));
+    settings.push_back("TMPDIR=" + folder_.path());
+    if (options.faults) {
+      settings.push_back(std::string("LD_PRELOAD=") + VIOLETUSHER_FAULT_LIBRARY);
+      settings.push_back("VIOLETUSHER_FAULTS=" + folder_.file("faults"));
+      settings.push_back("VIOLETUSHER_FAULTS_LOG=" + folder_.file("faults.log"));
+    }
+    pid_ = ::fork();
+    if (pid_ != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    int to = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    ::dup2(to, 2);
+    for (const char* name : {"NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_OPERATOR"})
+      ::unsetenv(name);
+    for (std::string& one : settings) ::putenv(one.data());
+    std::vector<char*> arguments{const_cast<char*>(VIOLETUSHER_PROGRAM)};
+    for (const std::string& one : options.arguments)
+      arguments.push_back(const_cast<char*>(one.c_str()));
+    arguments.push_back(nullptr);
+    ::execv(VIOLETUSHER_PROGRAM, arguments.data());
+    ::_exit(127);
+  }
+
+  const Scratch& folder_;
+  std::string log_name_;
+  pid_t pid_ = -1;
+};
+
+/// A port that nobody listens on now.
+inline std::uint16_t free_port() {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  sockaddr_in a = loopback(0);
+  ::bind(fd.get(), reinterpret_cast<sockaddr*>(&a), sizeof a);
+  socklen_t size = sizeof a;
+  ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&a), &size);
+  return ntohs(a.sin_port);
+}
+
+/// Discovery, or an agent that has its list: answers at once where there is news, holds watches for
+/// the time that they ask for, and keeps connections.
+class HoldingDiscovery {
+ public:
+  explicit HoldingDiscovery(const std::map<std::string, std::string>& dials)
+      : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    for (const auto& [id, dial] : dials) entries_[id] = host_entry(id, dial);
+    sockaddr_in a = loopback(0);
+    ::bind(listener_.get(), reinterpret_cast<sockaddr*>(&a), sizeof a);
+    ::listen(listener_.get(), 64);
+    socklen_t size = sizeof a;
+    ::getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&a), &size);
+    port_ = ntohs(a.sin_port);
+    accepting_ = std::thread([this] { accept(); });
+  }
+  ~HoldingDiscovery() {
+    {
+      std::lock_guard lock(mutex_);
+      stop_ = true;
+    }
+    changed_.notify_all();
+    ::shutdown(listener_.get(), SHUT_RDWR);
+    accepting_.join();
+    for (auto& [fd, thread] : serving_) {
+      ::shutdown(fd, SHUT_RDWR);
+      thread.join();
+      ::close(fd);
+    }
+  }
+  std::string address() const { return loopback_text(port_); }
+  int calls() const { return calls_; }
+  int connections() const { return connections_; }
+  /// From now on the server is told of as "leaving", "active" or "left".
+  void tell(const std::string& id, const std::string& dial, const std::string& health) {
+    std::lock_guard lock(mutex_);
+    entries_[id] = host_entry(id, dial, health);
+    last_ = id;
+    ++version_;
+    changed_.notify_all();
+  }
+
+ private:
+  void accept() {
+    while (true) {
+      int fd = ::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd < 0) return;
+      ++connections_;
+      serving_.emplace_back(fd, std::thread([this, fd] { serve(fd); }));
+    }
+  }
+
+  void serve(int fd) {
+    std::string in;
+    char bytes[4096];
+    while (true) {
+      std::size_t end = in.find("\r\n\r\n");
+      if (end == in.npos) {
+        ssize_t got = ::recv(fd, bytes, sizeof bytes, 0);
+        if (got <= 0) break;
+        in.append(bytes, static_cast<std::size_t>(got));
+        continue;
+      }
+      std::string head = in.substr(0, end);
+      in.erase(0, end + 4);
+      ++calls_;
+      std::string body = answer(head);
+      bool close = head.find("Connection: close") != head.npos;
+      std::string text = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                         "\r\n" + (close ? "Connection: close\r\n" : "") + "\r\n" + body;
+      if (::send(fd, text.data(), text.size(), MSG_NOSIGNAL) < 0 || close) break;
+    }
+    ::shutdown(fd, SHUT_RDWR);
+  }
+
+  std::string answer(const std::string& head) {
+    std::size_t at = head.find("?index=");
+    std::unique_lock lock(mutex_);
+    if (at == head.npos) return list(true);
+    std::uint64_t index = std::strtoull(head.c_str() + at + 7, nullptr, 10);
+    std::size_t wait_at = head.find("&wait=", at);
+    long wait = wait_at == head.npos ? 0 : std::atol(head.c_str() + wait_at + 6);
+    changed_.wait_for(lock, std::chrono::milliseconds(wait),
+                      [&] { return stop_ || version_ != index; });
+    return list(index + 1 != version_);
+  }
+
+  /// Whole, or what changed last.
+  std::string list(bool whole) const {
+    std::vector<std::string> entries;
+    for (const auto& [id, entry] : entries_)
+      if (whole || id == last_) entries.push_back(entry);
+    return host_list(std::to_string(version_), entries, whole);
+  }
+
+  Fd listener_;
+  std::uint16_t port_ = 0;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, std::string> entries_;
+  std::string last_;
+  std::uint64_t version_ = 10;
+  bool stop_ = false;
+  std::atomic<int> calls_{0}, connections_{0};
+  std::list<std::pair<int, std::thread>> serving_;
+  std::thread accepting_;
+};
+
+}  // namespace violetusher::net::test
