Bans are in force at once, said yes to once durable, and never taken back by the file

What callers saw (rule drain): OFFLINE pc-1 was answered SUCCESS while the write failed with ENOSPC; at the next ban pc-1 was back in service, and after a kill as well. A file that was replaced while its read failed put everything back until the next look; a short write left a torn id that the next line completed to another server's.

Cause: Operations::put went on after BanFile::append had failed and then took the file for the whole truth (follow(bans_.out())); poll() cleared what is out before it had read the new file; append() ended torn lines with a newline. A failed call was read as information about the world.

Fix: BanStore owns the bans. What was promised lies over what the file says until it is read back from there; a thread of its own appends and syncs, tried again with pauses of 10 to 250 ms; yes within 0.8 s only when durable, else FAILURE that says so, the ban in force all the same. A file takes back by ONLINE lines or by a whole rewriting (COMPACT line) alone: one that is gone, cut off or foreign is written again from memory. Torn tails are cut off under the lock. Results of calls are typed: call_result (the one table from errno), file_io.

Survives: disk full, EIO, short write at each byte, kill between any two calls, two processes at a replacement. Not: a power loss behind a sync that failed and was then said to be good by the system.

--- /dev/null
+++ b/src/net/ban_log.cpp
@@ -0,0 +1,181 @@
+#include "ban_log.hpp"
+
+#include <fcntl.h>
+
+#include <algorithm>
+#include <set>
+
+#include "core/ops/call.hpp"
+
+namespace violetusher::net {
+namespace {
+
+constexpr char kCompactLine[] = "COMPACT";
+// Read at once: more than the largest file that is written here.
+constexpr std::size_t kMostRead = 2u << 20;
+
+std::string text_of(const BanLine& line) {
+  return (line.out ? "OFFLINE " : "ONLINE ") + line.id + "\n";
+}
+
+std::optional<BanLine> parse_line(std::string_view text) {
+  std::string error;
+  auto call = core::ops::parse_call(text, error);
+  if (!call || call->id.empty()) return std::nullopt;
+  return BanLine{call->id, call->kind == core::ops::Call::Kind::kOffline};
+}
+
+/// False where another file has taken the name since this one was opened.
+CallStatus still_at(const File& file, const std::string& path, bool& still) {
+  struct stat mine {
+  }, there{};
+  CallStatus status = file.info(mine);
+  if (!status.done()) return status;
+  if (::stat(path.c_str(), &there) != 0) {
+    still = false;
+    return errno == ENOENT ? CallStatus() : CallStatus::failed();
+  }
+  still = mine.st_ino == there.st_ino && mine.st_dev == there.st_dev;
+  return {};
+}
+
+/// Opens the file that stands at `path` and locks it.
+CallStatus open_locked(const std::string& path, File& file) {
+  CallStatus status = File::open(path, O_RDWR | O_APPEND | O_CREAT, file);
+  if (status.done()) status = file.lock();
+  bool still = false;
+  if (status.done()) status = still_at(file, path, still);
+  if (status.done() && !still) return CallStatus::failed(EAGAIN);
+  return status;
+}
+
+/// Where the last whole line ends, so that what is torn behind it can be cut off. `size` where the
+/// file ends in more than a line can hold.
+CallStatus end_of_lines(const File& file, std::int64_t size, std::int64_t& end) {
+  char tail[core::ops::kMaxCall];
+  std::int64_t from = std::max<std::int64_t>(0, size - static_cast<std::int64_t>(sizeof tail));
+  std::size_t got = 0;
+  CallStatus status = file.read_at(from, tail, static_cast<std::size_t>(size - from), got);
+  if (!status.done()) return status;
+  if (from + static_cast<std::int64_t>(got) != size) return CallStatus::failed(EAGAIN);
+  std::size_t newline = std::string_view(tail, got).rfind('\n');
+  if (newline != std::string_view::npos)
+    end = from + static_cast<std::int64_t>(newline) + 1;
+  else
+    end = from == 0 ? 0 : size;
+  return {};
+}
+
+CallStatus read_all(const File& file, std::set<std::string>& out) {
+  std::string text(kMostRead, '\0');
+  std::size_t have = 0;
+  for (std::int64_t at = 0;;) {
+    std::size_t got = 0;
+    CallStatus status = file.read_at(at, text.data() + have, kMostRead - have, got);
+    if (!status.done()) return status;
+    std::string_view rest(text.data(), have + got);
+    for (std::size_t end; (end = rest.find('\n')) != rest.npos; rest.remove_prefix(end + 1)) {
+      auto line = parse_line(rest.substr(0, end));
+      if (!line) continue;
+      if (!line->out)
+        out.erase(line->id);
+      else if (out.size() < kMostBans)
+        out.insert(line->id);
+    }
+    if (got == 0) return {};
+    at += static_cast<std::int64_t>(got);
+    // Of a line that fills the buffer the rest is dropped with it.
+    have = rest.size() > core::ops::kMaxCall ? 0 : rest.size();
+    std::copy(rest.end() - static_cast<std::ptrdiff_t>(have), rest.end(), text.begin());
+  }
+}
+
+/// Writes what is out into a new file. Where that fails the old one has it all.
+void compact(const std::string& path, const File& locked) {
+  std::set<std::string> out;
+  if (!read_all(locked, out).done()) return;
+  std::string text = std::string(kCompactLine) + "\n";
+  for (const std::string& id : out) text += text_of({id, true});
+  replace_file(path, text);
+}
+
+}  // namespace
+
+CallStatus append_bans(const std::string& path, const std::vector<BanLine>& lines, bool sync) {
+  File file;
+  CallStatus status = open_locked(path, file);
+  struct stat info {};
+  if (status.done()) status = file.info(info);
+  if (!status.done()) return status;
+  std::int64_t size = info.st_size, end = 0;
+  if (size > 0) status = end_of_lines(file, size, end);
+  if (status.done() && end < size) status = file.truncate(end);
+  if (!status.done()) return status;
+  std::string text;
+  char last = '\n';
+  std::size_t got = 0;
+  if (end > 0) status = file.read_at(end - 1, &last, 1, got);
+  if (!status.done()) return status;
+  if (last != '\n') text = "\n";
+  for (const BanLine& line : lines) text += text_of(line);
+  status = file.write(text);
+  if (status.done() && sync) status = file.sync_data();
+  // What a failure leaves behind is either whole, and written again, or torn, and cut off.
+  if (!status.done()) return status;
+  if (static_cast<std::size_t>(end) >= kCompactBansAt) compact(path, file);
+  return {};
+}
+
+void BanLogReader::take(std::string_view bytes) {
+  while (!bytes.empty()) {
+    std::size_t end = bytes.find('\n');
+    if (end == bytes.npos) {
+      // Without its end yet; past the bound it is skipped as it comes.
+      if (bytes.size() <= core::ops::kMaxCall && !too_long_) return;
+      too_long_ = true;
+      at_ += static_cast<std::int64_t>(bytes.size());
+      return;
+    }
+    std::string_view text = bytes.substr(0, end);
+    if (at_ == 0 && text == kCompactLine) compacted_ = true;
+    if (auto line = parse_line(text); line && !too_long_) lines_.push_back(std::move(*line));
+    too_long_ = false;
+    at_ += static_cast<std::int64_t>(end) + 1;
+    bytes.remove_prefix(end + 1);
+  }
+}
+
+CallStatus BanLogReader::poll(News& news) {
+  news = News::kNone;
+  lines_.clear();
+  File file;
+  CallStatus status = File::open(path_, O_RDONLY | O_NONBLOCK, file);
+  struct stat info {};
+  if (status.done()) status = file.info(info);
+  if (!status.done()) return status;
+  bool other = info.st_ino != inode_ || info.st_size < at_;
+  std::int64_t from = other ? 0 : at_;
+  if (!other && info.st_size == at_) {
+    at_end_ = true;
+    return {};
+  }
+  auto left = static_cast<std::size_t>(info.st_size - from);
+  std::string bytes(std::min(left, kMostRead), '\0');
+  std::size_t got = 0;
+  status = file.read_at(from, bytes.data(), bytes.size(), got);
+  if (!status.done()) return status;
+  if (other) {
+    inode_ = info.st_ino;
+    at_ = 0;
+    too_long_ = compacted_ = false;
+  }
+  at_end_ = got == left;
+  take(std::string_view(bytes.data(), got));
+  if (other)
+    news = compacted_ && at_end_ ? News::kWhole : News::kOther;
+  else if (!lines_.empty())
+    news = News::kLines;
+  return {};
+}
+
+}  // namespace violetusher::net
--- /dev/null
+++ b/src/net/call_result.cpp
@@ -0,0 +1,65 @@
+#include "call_result.hpp"
+
+#include <cstring>
+
+namespace violetusher::net {
+
+CallResult result_of(int error) {
+  switch (error) {
+    case 0:
+      return CallResult::kDone;
+    case EAGAIN:
+      return CallResult::kWouldBlock;
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case ENOSPC:
+    case EDQUOT:
+    case EIO:
+    case ENOLCK:
+    case EBUSY:
+    case EINTR:
+    case EADDRNOTAVAIL:
+    case ENETDOWN:
+    case ENETUNREACH:
+      return CallResult::kNoResources;
+    default:
+      return CallResult::kBroken;
+  }
+}
+
+CallResult connection_result_of(int error) {
+  switch (error) {
+    case EADDRNOTAVAIL:
+    case EIO:
+    case ENETDOWN:
+    case ENETUNREACH:
+      return CallResult::kBroken;
+    default:
+      return result_of(error);
+  }
+}
+
+bool concerns_one_connection(int error) {
+  switch (error) {
+    case ECONNABORTED:
+    case EHOSTDOWN:
+    case EHOSTUNREACH:
+    case ENETDOWN:
+    case ENETUNREACH:
+    case ENONET:
+    case ENOPROTOOPT:
+    case EOPNOTSUPP:
+    case EPERM:
+    case EPROTO:
+    case ETIMEDOUT:
+      return true;
+    default:
+      return false;
+  }
+}
+
+std::string CallStatus::reason() const { return std::strerror(error); }
+
+}  // namespace violetusher::net
--- /dev/null
+++ b/src/net/file_io.cpp
@@ -0,0 +1,124 @@
+#include "file_io.hpp"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <cstdio>
+
+namespace violetusher::net {
+namespace {
+
+constexpr mode_t kMode = 0600;
+
+CallStatus status_of(int result) { return result < 0 ? CallStatus::failed() : CallStatus(); }
+
+std::string folder_of(const std::string& path) {
+  std::size_t slash = path.rfind('/');
+  if (slash == path.npos) return ".";
+  return slash == 0 ? "/" : path.substr(0, slash);
+}
+
+CallStatus write_fresh(const std::string& path, std::string_view text) {
+  File file;
+  CallStatus status = File::open(path, O_WRONLY | O_CREAT | O_TRUNC, file);
+  if (status.done()) status = file.write(text);
+  if (status.done()) status = file.sync();
+  return status;
+}
+
+CallStatus sync_folder(const std::string& path) {
+  File folder;
+  CallStatus status = File::open(path, O_RDONLY | O_DIRECTORY, folder);
+  return status.done() ? folder.sync() : status;
+}
+
+}  // namespace
+
+File::~File() {
+  if (descriptor_ >= 0) ::close(descriptor_);
+}
+
+CallStatus File::open(const std::string& path, int flags, File& file) {
+  int descriptor =
+      retry_interrupted([&] { return ::open(path.c_str(), flags | O_CLOEXEC, kMode); });
+  if (descriptor < 0) return CallStatus::failed();
+  file = File();
+  file.descriptor_ = descriptor;
+  return {};
+}
+
+CallStatus File::info(struct stat& info) const { return status_of(::fstat(descriptor_, &info)); }
+
+CallStatus File::read_at(std::int64_t offset, char* to, std::size_t size, std::size_t& got) const {
+  got = 0;
+  while (got < size) {
+    ssize_t some = retry_interrupted([&] {
+      return ::pread(descriptor_, to + got, size - got,
+                     static_cast<off_t>(offset + static_cast<std::int64_t>(got)));
+    });
+    if (some < 0) return CallStatus::failed();
+    if (some == 0) break;
+    got += static_cast<std::size_t>(some);
+  }
+  return {};
+}
+
+CallStatus File::write(std::string_view text) {
+  while (!text.empty()) {
+    ssize_t put = retry_interrupted([&] { return ::write(descriptor_, text.data(), text.size()); });
+    if (put < 0) return CallStatus::failed();
+    text.remove_prefix(static_cast<std::size_t>(put));
+  }
+  return {};
+}
+
+CallStatus File::truncate(std::int64_t size) {
+  return status_of(
+      retry_interrupted([&] { return ::ftruncate(descriptor_, static_cast<off_t>(size)); }));
+}
+
+CallStatus File::sync_data() {
+  return status_of(retry_interrupted([&] { return ::fdatasync(descriptor_); }));
+}
+
+CallStatus File::sync() {
+  return status_of(retry_interrupted([&] { return ::fsync(descriptor_); }));
+}
+
+CallStatus File::lock() {
+  return status_of(retry_interrupted([&] { return ::flock(descriptor_, LOCK_EX | LOCK_NB); }));
+}
+
+CallStatus read_whole_file(const std::string& path, std::size_t most, std::string& text) {
+  text.clear();
+  File file;
+  // Opened without waiting: a fifo may have nobody at its other end.
+  CallStatus status = File::open(path, O_RDONLY | O_NONBLOCK, file);
+  struct stat info {};
+  if (status.done()) status = file.info(info);
+  if (!status.done()) return status;
+  if (S_ISDIR(info.st_mode)) return CallStatus::failed(EISDIR);
+  if (!S_ISREG(info.st_mode)) return CallStatus::failed(EINVAL);
+  auto size = static_cast<std::size_t>(info.st_size);
+  if (size > most) return CallStatus::failed(EFBIG);
+  text.resize(size);
+  std::size_t got = 0;
+  status = file.read_at(0, text.data(), size, got);
+  text.resize(got);
+  if (!status.done()) text.clear();
+  return status;
+}
+
+CallStatus replace_file(const std::string& path, std::string_view text) {
+  std::string fresh = path + "." + std::to_string(::getpid());
+  CallStatus status = write_fresh(fresh, text);
+  if (status.done()) status = status_of(std::rename(fresh.c_str(), path.c_str()));
+  if (!status.done()) {
+    ::unlink(fresh.c_str());
+    return status;
+  }
+  return sync_folder(folder_of(path));
+}
+
+}  // namespace violetusher::net
--- a/src/net/operations.cpp
+++ b/src/net/operations.cpp
@@ -8,9 +8,10 @@
 namespace violetusher::net {
 namespace {
 
-// How often the bans are looked at that another process of this router may have written: a ban
-// binds from the yes, and is due within a second of the call.
-constexpr Micros kLook = kSecond / 10;
+// After a failed listen.
+constexpr Micros kListenPause = kSecond / 10;
+// Every call is answered within a second.
+constexpr Micros kYesWithin = 4 * kSecond / 5;
 
 /// Of the folder that outlives the process and the router's name, as it is the same after a
 /// restart.
@@ -40,21 +41,62 @@
   if (!config_.operator_listen.empty()) look();
 }
 
+bool Operations::bans_known() {
+  if (promises_ || config_.operator_listen.empty()) return true;
+  sync();
+  return bans_.known();
+}
+
 void Operations::look() {
-  look_alarm_->set(kLook);
   sync();
-  if (side_.listening()) return;
+  answer_waiting();
+  listen();
+  look_alarm_->set(std::max<Micros>(bans_.next(io_.now()) - io_.now(), kMillisecond));
+}
+
+void Operations::listen() {
+  if (side_.listening() || io_.now() < listen_at_) return;
   auto address = parse_address(config_.operator_listen, true);
   std::string error = "no address";
   if (address && side_.listen(*address, error)) return;
+  listen_at_ = io_.now() + kListenPause;
   log_.write(io_.now(), Log::Level::kError, "operator-listen-failed",
              "operator address " + config_.operator_listen + ": " + error + "; tried again",
              {{"address", std::string_view(config_.operator_listen)}});
 }
 
-/// Makes what is out here what the file says.
+/// Makes what is out here what was promised here or by another process of this router.
 void Operations::sync() {
-  if (!promises_ && bans_.poll()) follow(bans_.out());
+  if (promises_) return;
+  if (bans_.advance(io_.now())) follow(bans_.out());
+  tell_trouble();
+}
+
+/// Told once, until something else is wrong or all is well.
+void Operations::tell_trouble() {
+  if (bans_.trouble() == told_trouble_) return;
+  told_trouble_ = bans_.trouble();
+  if (told_trouble_.empty())
+    log_.write(io_.now(), Log::Level::kInfo, "bans-kept", "operator: the file of bans is good");
+  else
+    log_.write(io_.now(), Log::Level::kWarn, "ban-not-kept",
+               "operator: " + told_trouble_ + "; what is out stays out, and it is tried again",
+               {{"reason", std::string_view(told_trouble_)}});
+}
+
+void Operations::answer_waiting() {
+  Micros now = io_.now();
+  std::vector<Waiting> rest;
+  for (Waiting& one : waiting_) {
+    if (bans_.durable(one.number))
+      one.later("SUCCESS\r\n");
+    else if (now >= one.until)
+      one.later("FAILURE " + one.id + (one.out ? " is out" : " is back") +
+                " now, but that is not written down yet and would not outlive this process\r\n");
+    else
+      rest.push_back(std::move(one));
+  }
+  waiting_.swap(rest);
 }
 
 void Operations::hold(const std::set<std::string>& out) {
@@ -90,31 +132,31 @@
     case Kind::kDump:
       return figures_.json(handler_.standing()) + "\r\nEOT\r\n";
     case Kind::kOffline:
-      return put(call->id, true);
+      return put(call->id, true, std::move(later));
     default:
-      return put(call->id, false);
+      return put(call->id, false, std::move(later));
   }
 }
 
-std::string Operations::put(const std::string& id, bool out) {
+std::optional<std::string> Operations::put(const std::string& id, bool out,
+                                           OperatorSide::Later later) {
   sync();
   if (!hosts_.known(id)) return "FAILURE no such cache server\r\n";
-  if (hosts_.out(id) == out) return "SUCCESS\r\n";
-  if (out && hosts_.all_out().size() >= BanFile::kMostOut)
+  if (out && !hosts_.out(id) && hosts_.all_out().size() >= kMostBans)
     return "FAILURE too many cache servers are out\r\n";
-  if (bans_.append(id, out)) {
-    sync();
-  } else {
-    log_.write(io_.now(), Log::Level::kWarn, "ban-not-kept",
-               "operator: that " + id + (out ? " is out" : " is back") +
-                   " could not be written down; the next process will not know",
+  // Also where it is so already: an earlier call may not be written down yet.
+  BanStore::Number number = bans_.promise(id, out);
+  if (hosts_.out(id) != out) {
+    log_.write(io_.now(), Log::Level::kInfo, out ? "server-out" : "server-back",
+               "operator: " + id + (out ? " taken out" : " put back"),
                {{"server", std::string_view(id)}});
+    follow(bans_.out());
   }
-  if (hosts_.out(id) != out) handler_.on_out_or_back(hosts_.set_out(id, out));
-  log_.write(io_.now(), Log::Level::kInfo, out ? "server-out" : "server-back",
-             "operator: " + id + (out ? " taken out" : " put back"),
-             {{"server", std::string_view(id)}});
-  return "SUCCESS\r\n";
+  if (bans_.durable(number)) return "SUCCESS\r\n";
+  waiting_.push_back({number, io_.now() + kYesWithin, id, out, std::move(later)});
+  sync();
+  look_alarm_->set(kMillisecond);
+  return std::nullopt;
 }
 
 }  // namespace violetusher::net
--- a/src/net/operations.hpp
+++ b/src/net/operations.hpp
@@ -6,8 +6,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
-#include "ban_file.hpp"
+#include "ban_store.hpp"
 #include "config.hpp"
 #include "core/ops/figures.hpp"
 #include "host_book.hpp"
@@ -42,6 +43,9 @@
 
   /// Takes over the bans that are kept, and listens; where that fails, it is tried again.
   void start();
+  /// Whether it is known which servers are out; until then nothing may be sent. Looks once more
+  /// where it is not.
+  bool bans_known();
   /// From now on `promises` says which servers are out, through hold(), and no longer the file.
   void use(Promises& promises) { promises_ = &promises; }
   void hold(const std::set<std::string>& out);
@@ -52,10 +56,22 @@
 
  private:
   std::optional<std::string> answer(std::string_view line, OperatorSide::Later later);
+  /// An operator who waits until a ban is durable.
+  struct Waiting {
+    BanStore::Number number = 0;
+    Micros until = 0;
+    std::string id;
+    bool out = false;
+    OperatorSide::Later later;
+  };
+
   void follow(const std::set<std::string>& out);
-  std::string put(const std::string& id, bool out);
+  std::optional<std::string> put(const std::string& id, bool out, OperatorSide::Later later);
   void sync();
   void look();
+  void listen();
+  void answer_waiting();
+  void tell_trouble();
 
   Io& io_;
   const Config& config_;
@@ -63,10 +79,13 @@
   Handler& handler_;
   Log& log_;
   HostBook hosts_;
-  BanFile bans_;
+  BanStore bans_;
+  std::vector<Waiting> waiting_;
+  std::string told_trouble_;
   Promises* promises_ = nullptr;
   OperatorSide side_;
   std::unique_ptr<Alarm> look_alarm_;
+  Micros listen_at_ = 0;  // not listening: when to try again
 };
 
 }  // namespace violetusher::net
--- /dev/null
+++ b/tests/net/ban_log_test.cpp
@@ -0,0 +1,118 @@
+// The file of bans: two processes, torn lines, its bound.
+#include "net/ban_log.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <set>
+
+namespace violetusher::net {
+namespace {
+
+class BanLogTest : public ::testing::Test {
+ protected:
+  BanLogTest() {
+    std::string pattern = ::testing::TempDir() + "/bans-XXXXXX";
+    folder_ = ::mkdtemp(pattern.data());
+    path_ = folder_ + "/bans";
+  }
+  ~BanLogTest() override { std::filesystem::remove_all(folder_); }
+  bool append(const std::string& id, bool out) {
+    return append_bans(path_, {{id, out}}, false).done();
+  }
+  std::string folder_, path_;
+};
+
+/// What a process that follows the file holds for out.
+struct Follower {
+  explicit Follower(const std::string& path) : reader(path) {}
+  bool poll() {
+    std::set<std::string> before = out;
+    BanLogReader::News news;
+    if (!reader.poll(news).done()) return false;
+    if (news == BanLogReader::News::kWhole || news == BanLogReader::News::kOther) out.clear();
+    for (const BanLine& line : reader.lines())
+      line.out ? static_cast<void>(out.insert(line.id)) : static_cast<void>(out.erase(line.id));
+    return out != before;
+  }
+  BanLogReader reader;
+  std::set<std::string> out;
+};
+
+TEST_F(BanLogTest, TwoWritersAndALateReaderAgree) {
+  Follower a(path_), b(path_);
+  std::set<std::string> model;
+  std::mt19937 random(7);
+  for (int k = 0; k < 20'000; ++k) {  // past the bound many times
+    std::string id = "s-" + std::to_string(random() % 40);
+    bool out = random() % 2;
+    ASSERT_TRUE(append(id, out));
+    out ? model.insert(id).second : model.erase(id) > 0;
+    if (random() % 5 == 0) a.poll();
+    if (random() % 50 == 0) b.poll();
+    if (k % 1000 == 0) {
+      a.poll(), b.poll();
+      ASSERT_EQ(a.out, model);
+      ASSERT_EQ(b.out, model);
+    }
+  }
+  Follower late(path_);
+  EXPECT_EQ(late.poll(), !model.empty());
+  EXPECT_EQ(late.out, model);
+  EXPECT_LT(std::filesystem::file_size(path_), 2 * kCompactBansAt);
+}
+
+TEST_F(BanLogTest, TornAndForeignLinesSayNothing) {
+  Follower a(path_);
+  ASSERT_TRUE(append("s-1", true));
+  std::ofstream(path_, std::ios::app) << "nonsense\nOFFLINE \nHEALTH\n"
+                                      << std::string(100'000, 'x') << "\nOFFLINE s-2";
+  a.poll();
+  EXPECT_EQ(a.out, std::set<std::string>{"s-1"});  // s-2's end has not come
+  ASSERT_TRUE(append("s-3", true));                // in place of the torn line
+  a.poll();
+  EXPECT_EQ(a.out, (std::set<std::string>{"s-1", "s-3"}));
+}
+
+TEST_F(BanLogTest, ALineTornAtAnyByteNeverBecomesAnotherOne) {
+  std::string line = "OFFLINE s-123456\n";
+  for (std::size_t torn = 0; torn <= line.size(); ++torn) {
+    std::ofstream(path_, std::ios::trunc) << "OFFLINE s-0\n" << line.substr(0, torn);
+    Follower early(path_);
+    early.poll();
+    ASSERT_TRUE(append("s-9", true));
+    early.poll();
+    Follower late(path_);
+    late.poll();
+    std::set<std::string> expected{"s-0", "s-9"};
+    if (torn == line.size()) expected.insert("s-123456");
+    EXPECT_EQ(late.out, expected) << torn;
+    EXPECT_EQ(early.out, expected) << torn;
+  }
+}
+
+TEST_F(BanLogTest, GarbageWithoutLinesIsReadInPartsAndWrittenAnew) {
+  std::ofstream(path_, std::ios::trunc) << std::string(5u << 20, 'x');
+  Follower a(path_);
+  a.poll();
+  EXPECT_FALSE(a.reader.at_end());
+  ASSERT_TRUE(append("s-1", true));
+  for (int k = 0; k < 4; ++k) a.poll();
+  EXPECT_EQ(a.out, std::set<std::string>{"s-1"});
+  EXPECT_LT(std::filesystem::file_size(path_), kCompactBansAt);
+}
+
+TEST_F(BanLogTest, WithoutAFolderNothingIsKept) {
+  EXPECT_FALSE(append_bans("", {{"s-1", true}}).done());
+  EXPECT_FALSE(append_bans(folder_ + "/missing/bans", {{"s-1", true}}).done());
+  BanLogReader none(folder_ + "/missing/bans");
+  BanLogReader::News news;
+  EXPECT_EQ(none.poll(news).error, ENOENT);
+}
+
+}  // namespace
+}  // namespace violetusher::net
--- /dev/null
+++ b/tests/net/call_result_test.cpp
@@ -0,0 +1,45 @@
+// The table from errno to what it means.
+#include "net/call_result.hpp"
+
+#include <gtest/gtest.h>
+
+namespace violetusher::net {
+namespace {
+
+TEST(CallResult, AShortageOfThisMachineIsNoWordOnAnythingElse) {
+  for (int error : {EMFILE, ENFILE, ENOBUFS, ENOMEM, ENOSPC, EDQUOT, EIO, EADDRNOTAVAIL,
+                    ENETUNREACH, ENETDOWN, ENOLCK, EINTR})
+    EXPECT_EQ(result_of(error), CallResult::kNoResources) << error;
+  for (int error : {ENOENT, EACCES, EISDIR, EROFS, ECONNREFUSED, ETIMEDOUT, EHOSTUNREACH, EPIPE})
+    EXPECT_EQ(result_of(error), CallResult::kBroken) << error;
+  EXPECT_EQ(result_of(EAGAIN), CallResult::kWouldBlock);
+  EXPECT_EQ(result_of(0), CallResult::kDone);
+}
+
+TEST(CallResult, AConnectionWithoutItsNetworkIsBroken) {
+  for (int error : {ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, ECONNRESET, EPIPE})
+    EXPECT_EQ(connection_result_of(error), CallResult::kBroken) << error;
+  for (int error : {ENOBUFS, ENOMEM})
+    EXPECT_EQ(connection_result_of(error), CallResult::kNoResources) << error;
+  EXPECT_EQ(connection_result_of(EAGAIN), CallResult::kWouldBlock);
+}
+
+TEST(CallResult, AnAcceptThatLostItsConnectionGoesOnToTheNext) {
+  for (int error : {ECONNABORTED, EPROTO, ENETUNREACH, EHOSTUNREACH})
+    EXPECT_TRUE(concerns_one_connection(error)) << error;
+  for (int error : {EMFILE, ENFILE, ENOBUFS, ENOMEM, EAGAIN, EBADF})
+    EXPECT_FALSE(concerns_one_connection(error)) << error;
+}
+
+TEST(CallResult, InterruptedCallsAreMadeAgain) {
+  int calls = 0;
+  auto result = retry_interrupted([&] {
+    errno = EINTR;
+    return ++calls < 3 ? -1 : 7;
+  });
+  EXPECT_EQ(result, 7);
+  EXPECT_EQ(calls, 3);
+}
+
+}  // namespace
+}  // namespace violetusher::net
--- a/tests/net/seam_test.cpp
+++ b/tests/net/seam_test.cpp
@@ -14,9 +14,9 @@
 namespace fs = std::filesystem;
 
 /// The files that are the system behind the seam, or read files at the start and at a reload.
-const std::set<std::string> kSystem = {"net/system_io.hpp",     "net/system_io.cpp",
-                                       "net/operator_file.cpp", "net/flight_file.cpp",
-                                       "net/log_sink.cpp",      "net/ban_file.cpp"};
+const std::set<std::string> kSystem = {"net/system_io.hpp", "net/system_io.cpp",
+                                       "net/operator_file.cpp", "net/flight_file.cpp", "net/log_sink.cpp",
+                                       "net/file_io.cpp"};
 
 std::string goes_around(const std::string& line) {
   // In parts, as a raw string can't be broken.
