Files that can't be read are read again, and a signal is not lost by a failed write

SIGHUP (and SIGTERM) itself was lost while send() failed: libevent's handler writes to a socket pair and ignores the result. An operator file whose read failed in the middle was taken for the shorter file.

Cause: unreadable was read as broken, as empty, or as the end of the file.

Fix: UnreadableError, apart from ConfigError; at SIGHUP the files are read again after 20 to 500 ms until they can be (log: reload-unreadable; not counted as reload_failure), a further SIGHUP reads at once. A start tries files, event base and listener again for some seconds, and does not listen before the bans are known (5 s at most). SIGHUP is kept from before the files are read first.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,15 +1,19 @@
 // violetusher: one router. Reads what it is told, starts, and ends on SIGTERM. SIGHUP makes it read
 // its configuration, and the operator file where one is in use, again.
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstring>
 #include <filesystem>
 #include <map>
 #include <memory>
-#include <vector>
+#include <optional>
+#include <thread>
 
+#include "daemon/signals.hpp"
 #include "net/flight_file.hpp"
 #include "net/operator_file.hpp"
 #include "net/router.hpp"
@@ -25,6 +29,36 @@
 using namespace violetusher::net;
 
 constexpr int kWrongInput = 2;
+// At a start, how long calls that may only fail for now are tried again.
+constexpr Micros kReadPatience = 8 * kSecond, kListenPatience = 3 * kSecond;
+constexpr Micros kBansPatience = 5 * kSecond;
+constexpr Micros kTryEvery = 10 * kMillisecond;
+constexpr Micros kFirstReloadPause = 20 * kMillisecond, kLongestReloadPause = kSecond / 2;
+
+/// Calls it until it says yes, for `patience` at most.
+template <typename Call>
+bool try_until(Micros patience, Call&& call) {
+  for (Micros waited = 0;; waited += kTryEvery) {
+    if (call()) return true;
+    if (waited >= patience) return false;
+    std::this_thread::sleep_for(std::chrono::microseconds(kTryEvery));
+  }
+}
+
+/// The same of what throws UnreadableError while a file can't be read for now.
+template <typename Read>
+void read_until_done(Read&& read) {
+  bool done = try_until(kReadPatience, [&] {
+    try {
+      read();
+    } catch (const UnreadableError& e) {
+      if (e.for_now) return false;
+      throw;
+    }
+    return true;
+  });
+  if (!done) read();
+}
 
 int complain(const std::string& what) {
   std::fprintf(stderr, "violetusher: %s\n", what.c_str());
@@ -61,7 +95,8 @@
         log_(sink_),
         name_(config.name),
         operator_file_(operator_file),
-        router_(io_, config, log_) {
+        router_(io_, config, log_),
+        reload_alarm_(io_.alarm([this] { read_again(); })) {
     if (operator_file.empty()) return;
     auto model = load_operator_file(operator_file, &config);
     router_.listen_besides(model);
@@ -73,16 +108,17 @@
   }
 
   /// Runs until a signal ends it. The exit code.
-  int run(event_base* base, const std::string& listen) {
+  int run(const std::string& listen) {
+    // Without the bans the router would send to servers that are out.
+    if (!try_until(kBansPatience, [this] { return may_serve(); }))
+      say(Log::Level::kError, "bans-unread", "operator: the file of bans can't be read; goes on");
     std::string error;
-    if (!router_.listen(error)) {
+    if (!try_until(kListenPatience, [&] { return router_.listen(error); })) {
       say(Log::Level::kError, "listen-failed", "listen " + listen + ": " + error);
       return 1;
     }
-    on(base, SIGTERM, [](evutil_socket_t, short, void* d) { self(d).stop(); });
-    on(base, SIGINT, [](evutil_socket_t, short, void* d) { self(d).stop(); });
-    on(base, SIGHUP, [](evutil_socket_t, short, void* d) { self(d).reload(); });
-    on(base, SIGUSR2, [](evutil_socket_t, short, void* d) { self(d).copy(); });
+    for (int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR2}) violetusher::keep_signal(number);
+    router_.each_turn([this] { act_on_signals(); });
     std::string host = listen.substr(0, listen.rfind(':'));
     say(Log::Level::kInfo, "listening",
         name_ + " listens on " + host + ":" + std::to_string(router_.port()));
@@ -91,11 +127,16 @@
   }
 
  private:
-  static Daemon& self(void* daemon) { return *static_cast<Daemon*>(daemon); }
+  bool may_serve() {
+    io_.renew();
+    return router_.may_serve();
+  }
 
-  void on(event_base* base, int signal, event_callback_fn call) {
-    signals_.emplace_back(evsignal_new(base, signal, call, this));
-    event_add(signals_.back().get(), nullptr);
+  void act_on_signals() {
+    if (violetusher::take_signal(SIGHUP)) reload();
+    if (violetusher::take_signal(SIGUSR2)) copy();
+    bool term = violetusher::take_signal(SIGTERM), interrupt = violetusher::take_signal(SIGINT);
+    if (term || interrupt) stop();
   }
 
   void stop() {
@@ -192,9 +233,23 @@
     router_.operate(std::move(model));
   }
 
-  /// Never ends the router: what goes wrong is logged, and all goes on as before.
+  /// Never ends the router: what goes wrong is logged, and all goes on as before. Files that can't
+  /// be read are read again until they can: what they name may bind already.
   void reload() {
-    router_.note_reload(take_over());
+    reload_pause_ = 0;
+    read_again();
+  }
+
+  void read_again() {
+    Reload result = take_over();
+    if (result == Reload::kUnreadable) {
+      reload_pause_ = std::clamp(2 * reload_pause_, kFirstReloadPause, kLongestReloadPause);
+      reload_alarm_->set(reload_pause_);
+      return;
+    }
+    reload_alarm_->clear();
+    reload_pause_ = 0;
+    router_.note_reload(result == Reload::kTaken);
 #ifdef VIOLETUSHER_LEDGER
     if (ledger_) ledger_->look_again();
     act_on_files();
@@ -258,7 +313,7 @@
       return e.what();
     }
     if (!file.swap()) return file.path() + ": " + std::strerror(errno);
-    bool taken = take_over();
+    bool taken = take_over() == Reload::kTaken;
     router_.note_reload(taken);
     if (!taken) file.undo();
     if (taken) act_on_files();
@@ -266,11 +321,13 @@
   }
 #endif
 
-  bool take_over() {
+  enum class Reload { kTaken, kRefused, kUnreadable };
+
+  Reload take_over() {
     try {
       Config config = reload_config(router_.config());
       // Both are read before either is used: a bad one changes nothing.
-      if (operator_file_.empty()) return router_.reload(config);
+      if (operator_file_.empty()) return router_.reload(config) ? Reload::kTaken : Reload::kRefused;
       auto model = load_operator_file(operator_file_, &config);
       if (model.ledgers != model_.ledgers || model.peers != model_.peers ||
           model.rollouts != model_.rollouts)
@@ -282,14 +339,20 @@
       router_.listen_besides(model);
       if (!router_.reload(config)) {
         router_.listen_besides(model_);
-        return false;
+        return Reload::kRefused;
       }
       use(std::move(model));
-      return true;
+      return Reload::kTaken;
+    } catch (const UnreadableError& e) {
+      if (reload_pause_ == 0)
+        say(Log::Level::kError, "reload-unreadable",
+            std::string("reload: ") + e.what() +
+                "; the old configuration is kept, and it is tried again");
+      return Reload::kUnreadable;
     } catch (const std::exception& e) {
       say(Log::Level::kError, "reload-refused",
           std::string("reload: ") + e.what() + "; the old configuration is kept");
-      return false;
+      return Reload::kRefused;
     }
   }
 
@@ -322,7 +385,8 @@
   std::unique_ptr<violetusher::ledger::Service> ledger_;
   std::string settings_digest_, operator_digest_;
 #endif
-  std::vector<EventPtr> signals_;
+  std::unique_ptr<Alarm> reload_alarm_;
+  Micros reload_pause_ = 0;  // 0: no reload waits for files that can be read
 };
 
 }  // namespace
@@ -343,18 +407,26 @@
   }
   if (only_check) return check(operator_file);
   std::signal(SIGPIPE, SIG_IGN);
-  // Until there is something to reload or to copy; of others no meaning is known here.
-  for (int one : {SIGHUP, SIGUSR1, SIGUSR2}) std::signal(one, SIG_IGN);
+  // Of USR1 no meaning is known here, and there is nothing to copy before the start.
+  for (int one : {SIGUSR1, SIGUSR2}) std::signal(one, SIG_IGN);
+  violetusher::keep_signal(SIGHUP);  // from before the files are read first
   try {
-    Config config = load_config();
+    Config config;
+    read_until_done([&] { config = load_config(); });
     if (!parse_address(config.discovery))
       return complain("discovery: no address: '" + config.discovery + "'");
     std::unique_ptr<event_config, void (*)(event_config*)> options(event_config_new(),
                                                                    event_config_free);
     event_config_set_flag(options.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
-    EventBasePtr base(event_base_new_with_config(options.get()));
-    if (!base) return complain("no event base");
-    return Daemon(base.get(), config, operator_file).run(base.get(), config.listen);
+    EventBasePtr base;
+    auto make_base = [&] {
+      base.reset(event_base_new_with_config(options.get()));
+      return base != nullptr;
+    };
+    if (!try_until(kReadPatience, make_base)) return complain("no event base");
+    std::optional<Daemon> daemon;
+    read_until_done([&] { daemon.emplace(base.get(), config, operator_file); });
+    return daemon->run(config.listen);
   } catch (const std::exception& e) {
     return complain(e.what());
   }
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,15 +1,12 @@
 #include "config.hpp"
 
 #include <algorithm>
-#include <cerrno>
 #include <cmath>
 #include <cstdlib>
-#include <cstring>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 #include "core/ops/retune.hpp"
+#include "file_io.hpp"
 #include "io.hpp"
 
 namespace violetusher::net {
@@ -17,6 +14,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t kMostConfig = 64u << 20;  // bytes
+
 std::string scalar_text(const Json& value) {
   return value.is_string() ? value.get<std::string>() : value.dump();
 }
@@ -208,14 +207,13 @@
   const char* path = std::getenv("NODE_CONFIG");
   if (!path || !*path) throw ConfigError("NODE_CONFIG: not set");
   if (!instead.empty()) path = instead.c_str();
-  std::ifstream file(path, std::ios::binary);
-  std::stringstream text;
-  if (file && file.peek() == std::ifstream::traits_type::eof())
-    throw ConfigError(std::string("NODE_CONFIG: ") + path + " is empty");
-  if (!file || !(text << file.rdbuf()))
-    throw ConfigError(std::string("NODE_CONFIG: cannot read ") + path + ": " +
-                      std::strerror(errno));
-  return parse_config(text.str());
+  std::string text;
+  CallStatus status = read_whole_file(path, kMostConfig, text);
+  if (!status.done())
+    throw UnreadableError(std::string("NODE_CONFIG: cannot read ") + path + ": " + status.reason(),
+                          status.for_now());
+  if (text.empty()) throw ConfigError(std::string("NODE_CONFIG: ") + path + " is empty");
+  return parse_config(text);
 }
 
 const char* variable(const char* name) {
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -14,6 +14,12 @@
   using std::runtime_error::runtime_error;
 };
 
+/// A file could not be read. That says nothing of what stands in it: it is to be read again.
+struct UnreadableError : ConfigError {
+  UnreadableError(const std::string& what, bool for_now) : ConfigError(what), for_now(for_now) {}
+  bool for_now;  ///< trying again may help without anybody's doing
+};
+
 /// One cache server as discovery lists it.
 struct Host {
   violetusher::Server server;
@@ -49,11 +55,11 @@
 };
 
 /// Reads the file that NODE_CONFIG names; the other NODE_ variables, where set, come before it.
-/// Throws ConfigError.
+/// Throws ConfigError, or UnreadableError.
 Config load_config();
 /// Reads that file again. The environment is as old as the process, so now the file comes first.
-/// Throws ConfigError also where the file lacks what `now`'s had, or its settings can't be used.
-/// `file`: to be read instead of the one that is named.
+/// Throws UnreadableError, and ConfigError also where the file lacks what `now`'s had, or its
+/// settings can't be used. `file`: to be read instead of the one that is named.
 Config reload_config(const Config& now, const std::string& file = {});
 /// The same from the file's text alone.
 Config parse_config(const std::string& json);
--- a/src/net/operator_file.cpp
+++ b/src/net/operator_file.cpp
@@ -1,16 +1,9 @@
 #include "operator_file.hpp"
 
-#include <fcntl.h>
-#include <sys/stat.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <cerrno>
-#include <cstring>
 #include <filesystem>
 
-#include "system_io.hpp"
-
 namespace violetusher::net {
 namespace {
 
@@ -26,37 +19,40 @@
 
 }  // namespace
 
-std::string read_plain_file(const std::string& path, std::string& text) {
-  // Opened without waiting: a fifo may have nobody at its other end.
-  Fd fd(::open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC));
-  struct stat info {};
-  if (!fd || ::fstat(fd.get(), &info) != 0) return std::strerror(errno);
-  if (S_ISDIR(info.st_mode)) return "it is a folder";
-  if (!S_ISREG(info.st_mode)) return "it is no ordinary file";
-  if (static_cast<std::size_t>(info.st_size) > config::kMostBytes)
-    return "it is larger than 16 MiB";
-  text.resize(static_cast<std::size_t>(info.st_size));
-  std::size_t have = 0;
-  while (have < text.size()) {
-    ssize_t got = ::read(fd.get(), text.data() + have, text.size() - have);
-    if (got <= 0) break;
-    have += static_cast<std::size_t>(got);
+std::string read_plain_file(const std::string& path, std::string& text, CallStatus* status) {
+  CallStatus read = read_whole_file(path, config::kMostBytes, text);
+  if (status) *status = read;
+  switch (read.error) {
+    case 0:
+      return "";
+    case EISDIR:
+      return "it is a folder";
+    case EINVAL:
+      return "it is no ordinary file";
+    case EFBIG:
+      return "it is larger than 16 MiB";
+    default:
+      return read.reason();
   }
-  text.resize(have);
-  return "";
 }
 
 core::config::Compiled compile_file(const std::string& path, std::string& error,
-                                    const Candidate& candidate) {
+                                    const Candidate& candidate, CallStatus* unread) {
+  auto read = [&](const std::string& from, std::string& text) {
+    CallStatus status;
+    std::string why = read_plain_file(from, text, &status);
+    if (unread && status.for_now()) *unread = status;
+    return why;
+  };
   auto load = [&](const std::string& from, const std::string& name) {
     config::Loaded loaded;
     loaded.name =
         plain(fs::path(name).is_absolute() ? fs::path(name) : fs::path(from).parent_path() / name);
-    loaded.error = read_plain_file(place_of(loaded.name, candidate), loaded.text);
+    loaded.error = read(place_of(loaded.name, candidate), loaded.text);
     return loaded;
   };
   std::string text;
-  error = read_plain_file(place_of(plain(path), candidate), text);
+  error = read(place_of(plain(path), candidate), text);
   if (!error.empty()) {
     error = path + ": " + error;
     return {};
@@ -67,7 +63,10 @@
 core::config::Model load_operator_file(const std::string& path, const Config* settings,
                                        const Candidate& candidate) {
   std::string error;
-  config::Compiled compiled = compile_file(path, error, candidate);
+  CallStatus unread;
+  config::Compiled compiled = compile_file(path, error, candidate, &unread);
+  if (!unread.done())
+    throw UnreadableError(path + ", or what it includes, cannot be read: " + unread.reason(), true);
   if (!error.empty()) throw ConfigError(error);
   if (!compiled.diagnostics.none()) {
     std::string all;
--- a/src/net/operator_file.hpp
+++ b/src/net/operator_file.hpp
@@ -5,6 +5,7 @@
 
 #include "config.hpp"
 #include "core/config/model.hpp"
+#include "file_io.hpp"
 
 namespace violetusher::net {
 
@@ -13,19 +14,22 @@
 
 /// The whole of an ordinary file of at most `core::config::kMostBytes`; returns what is wrong,
 /// empty where nothing is. Never waits: a fifo is turned away.
-std::string read_plain_file(const std::string& path, std::string& text);
+std::string read_plain_file(const std::string& path, std::string& text,
+                            CallStatus* status = nullptr);
 
 /// A file that is not yet where it is to be: read from `from` wherever `path` is named.
 struct Candidate {
   std::string path, from;
 };
 
-/// Reads and compiles a file and what it includes. Where it can't be read, `error` says so.
+/// Reads and compiles a file and what it includes. Where it can't be read, `error` says so;
+/// `unread` where it or what it includes can't be read for now.
 core::config::Compiled compile_file(const std::string& path, std::string& error,
-                                    const Candidate& candidate = {});
+                                    const Candidate& candidate = {}, CallStatus* unread = nullptr);
 
 /// The model of a file that this daemon can serve with these settings. Throws ConfigError with all
-/// messages, each with file, line and column. `config` may be null: then only the file is checked.
+/// messages, each with file, line and column; UnreadableError where a file can't be read for now.
+/// `config` may be null: then only the file is checked.
 core::config::Model load_operator_file(const std::string& path, const Config* config,
                                        const Candidate& candidate = {});
 
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -163,6 +163,7 @@
     } while (!feed_.empty() || servers_.dirty() || clients_.dirty());
     arm();
     io_.run_once();
+    if (each_turn_) each_turn_();
   }
   if (account_) account_->tick(io_.now());
 }
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -3,6 +3,7 @@
 // nothing else calls a module.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -28,8 +29,13 @@
   /// Throws ConfigError when the configuration can't be used.
   Router(Io& io, const Config& config, Log& log);
 
+  /// Whether it is known which servers may be sent to; false while what outlives the process can't
+  /// be read for now. Call again, and listen only then.
+  bool may_serve() { return operations_.bans_known(); }
   /// False with the reason in `error`.
   bool listen(std::string& error);
+  /// Called once a turn of the loop, which turns many times a second.
+  void each_turn(std::function<void()> call) { each_turn_ = std::move(call); }
   /// Runs until stop() has been carried out.
   void run();
   /// Planned end: see PROTOCOL's figures for restarts.
@@ -132,6 +138,7 @@
   violetusher::Settings next_settings_;  // from the end of the change-over
   Micros armed_at_ = 0;                  // 0: not set
   Micros stopping_since_ = 0;
+  std::function<void()> each_turn_;
   bool running_ = false, done_ = false;
 };
 
