Calls at discovery go on over the connection of the last one

Cause: each poll of the agent, three or four a second, opened a new connection, though the agent counts as heard at once. A machine that is out of sockets for longer than the grace made the router deaf.

Fix: HttpGet uses its connection for the next call within 1 s of the last answer. A call that fails within 0.1 s on a used connection is made once more on a fresh one; after a call without an answer on a used one, each has its own for 10 s.

--- a/src/net/system_io.cpp
+++ b/src/net/system_io.cpp
@@ -15,6 +15,12 @@
 
 constexpr ev_ssize_t kMaxBody = 8 << 20;
 constexpr ev_ssize_t kMaxHeaders = 64 << 10;
+// A connection is used for a further call within this of its last answer.
+constexpr Micros kReuseWithin = kSecond;
+// A call that fails so soon on a used connection met the end of that connection.
+constexpr Micros kStaleWithin = kSecond / 10;
+// After a call that got no answer on a used connection, each gets one of its own for so long.
+constexpr Micros kNoReuse = 10 * kSecond;
 
 class SystemWatch final : public Watch {
  public:
@@ -80,28 +86,21 @@
 
   void start(const std::string& address, const std::string& path, Micros limit) override {
     stop();
-    auto parsed = parse_address(address);
-    std::uint16_t port = parsed ? ntohs(parsed->sin_port) : 0;
-    std::string host = address.substr(0, address.rfind(':'));
-    connection_.reset(evhttp_connection_base_new(base_, nullptr, host.c_str(), port));
-    evhttp_request* request = connection_ ? evhttp_request_new(on_answer, this) : nullptr;
-    if (!request) {
-      event_active(ready_.get(), 0, 0);
-      return;
-    }
-    evhttp_connection_set_max_body_size(connection_.get(), kMaxBody);
-    evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaders);
-    timeval wait = timeval_of(limit);
-    evhttp_connection_set_timeout_tv(connection_.get(), &wait);
-    evkeyvalq* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", address.c_str());
-    evhttp_add_header(headers, "Connection", "close");
-    if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0)
-      event_active(ready_.get(), 0, 0);
+    address_ = address;
+    path_ = path;
+    limit_ = limit;
+    started_ = io_.now();
+    reused_ = connection_ && address == connected_to_ && started_ - answered_ <= kReuseWithin &&
+              started_ >= no_reuse_until_;
+    if (!reused_) connection_.reset();
+    make();
   }
 
   void stop() override {
-    connection_.reset();
+    // No answer on a used connection: perhaps the other side takes one call on each.
+    if (under_way_ && reused_) no_reuse_until_ = io_.now() + kNoReuse;
+    if (under_way_) connection_.reset();
+    under_way_ = false;
     body_.reset();
     event_del(ready_.get());
   }
@@ -111,6 +110,33 @@
     void operator()(evhttp_connection* c) const { evhttp_connection_free(c); }
   };
 
+  void make() {
+    under_way_ = true;
+    if (!connection_) connect();
+    evhttp_request* request = connection_ ? evhttp_request_new(on_answer, this) : nullptr;
+    if (!request) {
+      event_active(ready_.get(), 0, 0);
+      return;
+    }
+    timeval wait = timeval_of(limit_);
+    evhttp_connection_set_timeout_tv(connection_.get(), &wait);
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", address_.c_str());
+    if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path_.c_str()) != 0)
+      event_active(ready_.get(), 0, 0);
+  }
+
+  void connect() {
+    auto parsed = parse_address(address_);
+    std::uint16_t port = parsed ? ntohs(parsed->sin_port) : 0;
+    std::string host = address_.substr(0, address_.rfind(':'));
+    connection_.reset(evhttp_connection_base_new(base_, nullptr, host.c_str(), port));
+    connected_to_ = address_;
+    if (!connection_) return;
+    evhttp_connection_set_max_body_size(connection_.get(), kMaxBody);
+    evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaders);
+  }
+
   static void on_answer(evhttp_request* request, void* self) {
     auto* call = static_cast<SystemHttpGet*>(self);
     call->body_.reset();
@@ -126,9 +152,21 @@
   /// Outside of evhttp's own call, so that the connection can go.
   static void on_ready(evutil_socket_t, short, void* self) {
     auto* call = static_cast<SystemHttpGet*>(self);
-    call->connection_.reset();
     call->io_.renew();
-    call->done_(std::exchange(call->body_, std::nullopt));
+    call->end();
+  }
+
+  void end() {
+    Micros now = io_.now();
+    if (!body_) connection_.reset();
+    if (!body_ && reused_ && now - started_ <= kStaleWithin) {
+      reused_ = false;
+      make();
+      return;
+    }
+    answered_ = now;
+    under_way_ = false;
+    done_(std::exchange(body_, std::nullopt));
   }
 
   Io& io_;
@@ -137,6 +175,10 @@
   std::unique_ptr<evhttp_connection, ConnectionFree> connection_;
   EventPtr ready_;
   std::optional<std::string> body_;
+  std::string address_, path_, connected_to_;
+  Micros limit_ = 0, started_ = 0, answered_ = 0, no_reuse_until_ = 0;
+  bool under_way_ = false;
+  bool reused_ = false;  // the call went out on a connection that had answered before
 };
 
 bool would_block() { return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR; }
