A failed accept or dial says nothing about clients and cache servers

Fix: Accepted tells kNoDescriptor (EMFILE, ours) from kLater; what concerns one connection goes on to the next. An eviction is a planned end: read, answer, shut down sending, linger; connections that linger are dropped first, their input read. A listener that goes stays until accept says that nothing waits. A watch that could not be armed is armed again after 5 ms.

Not told apart further: recv() of a client that fails with ENOMEM counts as nothing there, and is read again.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "client_connection.hpp"
 
+#include <algorithm>
+
 namespace violetusher::net {
 namespace {
 
@@ -242,13 +244,27 @@
 }
 
 void ClientConnection::end_overdue() {
-  if (!rests()) {
+  if (rests())
+    end_resting();
+  else
     side_.close(*this);
-    return;
-  }
+}
+
+bool ClientConnection::end_resting() {
   read();
-  if (closed_ || !rests()) return;
+  if (closed_) return true;
+  // A read that failed for now has told nothing of what has come.
+  if (!rests() || side_.io_.may_have_input(socket_.number())) return false;
   finish();
+  return true;
+}
+
+void ClientConnection::discard_input() {
+  for (std::size_t most = kLingerBytes; most > 0;) {
+    ssize_t got = side_.io_.recv(socket_.number(), side_.scratch_.get(), ClientSide::kScratch);
+    if (got <= 0) return;
+    most -= std::min(most, static_cast<std::size_t>(got));
+  }
 }
 
 /// Whether a router that stops owes nothing more here.
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -31,6 +31,11 @@
   /// Ends it for that. What has come on a resting one in this very moment is taken first, and
   /// nothing that the client has not read yet is lost by a reset.
   void end_overdue();
+  /// Ends one that rests: what has come in this very moment is taken first. False where that was a
+  /// request, so that it does not rest any more.
+  bool end_resting();
+  /// Reads what has come and drops it, so that a close does not reset the connection.
+  void discard_input();
   std::size_t unsent() const { return out_.size() - out_at_; }
   std::size_t waiting() const { return unsent() + ready_; }
 
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -41,7 +41,7 @@
                                 std::string& error) {
   std::vector<std::unique_ptr<Listener>> fresh;
   auto same = [](const Listener& l, const auto& wanted) {
-    return l.name == wanted.first && l.address == wanted.second;
+    return !l.retiring && l.name == wanted.first && l.address == wanted.second;
   };
   for (const auto& wanted : addresses) {
     if (std::any_of(listeners_.begin(), listeners_.end(),
@@ -59,13 +59,11 @@
     }
     fresh.push_back(std::move(listener));
   }
-  std::erase_if(listeners_, [&](const auto& l) {
-    if (l->name.empty() || std::any_of(addresses.begin(), addresses.end(),
-                                       [&](const auto& wanted) { return same(*l, wanted); }))
-      return false;
-    accept_some(*l, kBacklog);
-    return true;
-  });
+  for (auto& l : listeners_)
+    l->retiring |=
+        !l->name.empty() && std::none_of(addresses.begin(), addresses.end(),
+                                         [&](const auto& wanted) { return same(*l, wanted); });
+  drop_retired();
   for (auto& listener : fresh) start_accepting(std::move(listener));
   return true;
 }
@@ -80,7 +78,7 @@
 
 std::uint16_t ClientSide::port(const std::string& name) const {
   for (const auto& l : listeners_)
-    if (l->name == name) return io_.port(l->socket.number());
+    if (l->name == name && !l->retiring) return io_.port(l->socket.number());
   return 0;
 }
 
@@ -90,7 +88,7 @@
   for (auto& l : listeners_) l->watch->read(!pause);
 }
 
-void ClientSide::accept_some(Listener& listener, int most) {
+bool ClientSide::accept_some(Listener& listener, int most) {
   while (most-- > 0) {
     // Those that have said nothing have a third of the places: a crowd of them pushes out its own,
     // not the clients that ask.
@@ -98,13 +96,20 @@
     if (connections_.size() >= limits_.connections && !evict() &&
         connections_.size() >= limits_.connections + limits_.spare_connections) {
       pause_accepting(true);
-      return;
+      return false;
     }
     Socket socket;
-    Io::Accepted accepted = io_.accept(listener.socket.number(), socket);
-    if (accepted != Io::Accepted::kOne) {
-      if (accepted == Io::Accepted::kNoRoom && !evict()) pause_accepting(true);
-      return;
+    switch (io_.accept(listener.socket.number(), socket)) {
+      case Io::Accepted::kNone:
+        return true;
+      case Io::Accepted::kNoDescriptor:
+        if (!evict()) pause_accepting(true);
+        return false;
+      case Io::Accepted::kLater:
+        pause_accepting(true);
+        return false;
+      case Io::Accepted::kOne:
+        break;
     }
     bool over = connections_.size() >= limits_.connections;
     connections_.push_back(std::make_unique<ClientConnection>(*this, std::move(socket), over));
@@ -112,28 +117,44 @@
     connections_.back()->listener_ = listener.name;
     ++silent_;
   }
+  return false;
 }
 
-/// Makes room by closing the connection that is missed least: one that only waits for the client's
-/// FIN, else the one that has had no request open for longest. False where each has one open.
+/// Makes room: by closing a connection that only waits for the client's FIN, else by ending the one
+/// that has rested for longest, else by closing the one that is in the middle of a command for
+/// longest. False where each has a request open.
 bool ClientSide::evict() {
-  ClientConnection* best = nullptr;
-  for (auto& c : connections_) {
-    if (!c->vacant()) continue;
-    if (!best || c->lingering_ > best->lingering_ ||
-        (c->lingering_ == best->lingering_ && c->used_at_ < best->used_at_))
-      best = c.get();
+  ClientConnection* oldest = nullptr;
+  for (auto& c : connections_)
+    if (c->lingering_ && (!oldest || c->since_ < oldest->since_)) oldest = c.get();
+  if (oldest) {
+    oldest->discard_input();
+    close(*oldest);
+    return true;
   }
-  if (best) close(*best);
-  return best != nullptr;
+  if (end_resting([](const ClientConnection&) { return true; })) return true;
+  for (auto& c : connections_)
+    if (c->vacant() && c->in_command() && (!oldest || c->since_ < oldest->since_)) oldest = c.get();
+  if (oldest) close(*oldest);
+  return oldest != nullptr;
 }
 
 bool ClientSide::evict_silent() {
-  ClientConnection* oldest = nullptr;
+  return end_resting([](const ClientConnection& c) { return !c.spoken_; });
+}
+
+/// Ends the connection that has rested for longest of those that may end: a planned end, so that a
+/// request that has come on it in this very moment is taken, and another one ended. False where
+/// there is none.
+bool ClientSide::end_resting(const std::function<bool(const ClientConnection&)>& may_end) {
+  std::vector<ClientConnection*> resting;
   for (auto& c : connections_)
-    if (!c->spoken_ && c->vacant() && (!oldest || c->used_at_ < oldest->used_at_)) oldest = c.get();
-  if (oldest) close(*oldest);
-  return oldest != nullptr;
+    if (c->vacant() && !c->lingering_ && may_end(*c)) resting.push_back(c.get());
+  std::sort(resting.begin(), resting.end(),
+            [](const auto* a, const auto* b) { return a->used_at_ < b->used_at_; });
+  for (ClientConnection* c : resting)
+    if (c->end_resting()) return true;
+  return false;
 }
 
 /// Bounds what slow readers and writers of long values make the router hold, whichever way they go
@@ -161,7 +182,16 @@
     else if (draining_)
       touch(*connections_[k]);  // its time for a first command may have run out
   }
-  if (accept_paused_ && !draining_) pause_accepting(false);
+  if (accept_paused_) pause_accepting(false);
+  drop_retired();
+}
+
+/// Lets listeners go that are not wanted any more, once what waits there is taken: an accept that
+/// fails for now says nothing of that.
+void ClientSide::drop_retired() {
+  std::erase_if(listeners_, [&](const auto& l) {
+    return l->retiring && (l->shared || accept_some(*l, kBacklog));
+  });
 }
 
 void ClientSide::touch(ClientConnection& c) {
@@ -187,7 +217,7 @@
     connections_[at]->index_ = at;
   }
   connections_.pop_back();
-  if (accept_paused_ && !draining_) pause_accepting(false);
+  if (accept_paused_) pause_accepting(false);
 }
 
 void ClientSide::answer(Owed&& owed, const std::string& id, const Reply& reply) {
@@ -263,12 +293,10 @@
 }
 
 void ClientSide::drain() {
-  if (draining_ || listeners_.empty()) return;
-  if (accept_paused_) pause_accepting(false);
-  for (auto& l : listeners_)
-    if (!l->shared) accept_some(*l, kBacklog);
+  for (auto& l : listeners_) l->retiring = true;
+  drop_retired();
+  if (draining_) return;
   draining_ = true;
-  listeners_.clear();
   for (auto& c : connections_) touch(*c);
 }
 
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -1,6 +1,7 @@
 // The listener and the client connections: commands in, answers out in the order of the commands.
 #pragma once
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -110,8 +111,10 @@
   /// True when there is something to flush.
   bool dirty() const { return !dirty_.empty(); }
   /// Planned end: takes the connections that wait in the backlog, unless those are for others as
-  /// well, stops listening and closes every connection as soon as it is between requests.
+  /// well, stops listening and closes every connection as soon as it is between requests. Call
+  /// again while it listens().
   void drain();
+  bool listens() const { return !listeners_.empty(); }
   /// The last moment of a planned end, with no request open: closes every connection after what is
   /// written to it, whatever its client has begun to send.
   void end_all();
@@ -126,14 +129,18 @@
     ClientSide& side;
     std::string name, address;  // both empty: the platform's
     bool shared = false;        // others accept from it too
+    bool retiring = false;      // goes once all that waits there is taken
     Socket socket;
     std::unique_ptr<Watch> watch;
   };
   bool start_accepting(std::unique_ptr<Listener> listener);
-  void accept_some(Listener& listener, int most);
+  /// Takes connections that wait, `most` of them; true once none waits.
+  bool accept_some(Listener& listener, int most);
   void pause_accepting(bool pause);
+  void drop_retired();
   bool evict();
   bool evict_silent();
+  bool end_resting(const std::function<bool(const ClientConnection&)>& may_end);
   void bound_buffers();
   void sweep();
   void touch(ClientConnection& connection);
--- a/src/net/io.hpp
+++ b/src/net/io.hpp
@@ -15,6 +15,7 @@
 #include <string>
 #include <utility>
 
+#include "call_result.hpp"
 #include "violetusher/balancer.hpp"
 
 namespace violetusher::net {
@@ -96,7 +97,12 @@
  public:
   /// What recv() and send() return besides a count.
   static constexpr ssize_t kAgain = -1, kBroken = -2;
-  enum class Accepted { kNone, kOne, kNoRoom };
+  enum class Accepted {
+    kNone,
+    kOne,
+    kNoDescriptor,  ///< this process may not open another one
+    kLater,         ///< the machine is out of something for now; says nothing of this process
+  };
 
   virtual ~Io() = default;
   /// Monotonic, with Unix time as its origin; see Clock. It stands still between two callbacks and
@@ -110,20 +116,23 @@
   /// `error` where `descriptor` is none.
   virtual Socket adopt(int descriptor, std::string& error) = 0;
   virtual std::uint16_t port(int listener) const = 0;
-  /// The next connection that waits. kNoRoom: out of descriptors or memory.
+  /// The next connection that waits.
   virtual Accepted accept(int listener, Socket& socket) = 0;
-  /// Begins to connect; the end shows as writable. An empty Socket where that can't even begin.
-  virtual Socket connect(const sockaddr_in& address) = 0;
-  /// Whether connect() has come to a good end; asked once it is writable.
-  virtual bool connected(int socket) = 0;
+  /// Begins to connect; the end shows as writable. kDone with the socket; kNoResources where this
+  /// machine is out of something for now, which says nothing of the peer; else kBroken.
+  virtual CallResult connect(const sockaddr_in& address, Socket& socket) = 0;
+  /// Whether connect() has come to a good end (kDone); asked once it is writable. kNoResources
+  /// where that can't be told now.
+  virtual CallResult connected(int socket) = 0;
   /// Bytes read, 0 at the end of the stream, kAgain or kBroken.
   virtual ssize_t recv(int socket, char* to, std::size_t size) = 0;
   /// Bytes written, kAgain or kBroken.
   virtual ssize_t send(int socket, const iovec* parts, std::size_t count) = 0;
-  /// True where recv() would return anything but kAgain: bytes, an end or an error.
-  virtual bool has_input(int socket) = 0;
+  /// False only where it is certain that recv() would return kAgain: neither bytes, an end nor an
+  /// error has come.
+  virtual bool may_have_input(int socket) = 0;
   /// True once the peer has closed the connection or ended its sending, or broken it, also while
-  /// bytes that it sent before are still unread.
+  /// bytes that it sent before are still unread. False where that can't be told now: ask again.
   virtual bool peer_ended(int socket) = 0;
   /// Ends the sending side.
   virtual void shut_sending(int socket) = 0;
--- a/src/net/operator_side.cpp
+++ b/src/net/operator_side.cpp
@@ -120,8 +120,10 @@
     if (callers_.size() >= kMost) callers_.erase(callers_.begin());
     Socket socket;
     Io::Accepted accepted = io_.accept(listener_.number(), socket);
-    if (accepted == Io::Accepted::kNoRoom && !callers_.empty()) callers_.erase(callers_.begin());
-    if (accepted == Io::Accepted::kNoRoom) accept_watch_->read(false);  // the sweep tries again
+    if (accepted == Io::Accepted::kNoDescriptor && !callers_.empty())
+      callers_.erase(callers_.begin());
+    if (accepted == Io::Accepted::kNoDescriptor || accepted == Io::Accepted::kLater)
+      accept_watch_->read(false);  // the sweep tries again
     if (accepted != Io::Accepted::kOne) return;
     callers_.push_back(std::make_unique<Caller>(*this, std::move(socket)));
   }
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -110,7 +110,9 @@
     if (up_ && !waits_) write();
   }
   void on_ready(unsigned what) override {
-    if (!up_ && ((what & Watch::kLimit) || !peers_.io_.connected(socket_.number()))) return drop();
+    if (!up_ &&
+        ((what & Watch::kLimit) || peers_.io_.connected(socket_.number()) != CallResult::kDone))
+      return drop();
     if (!up_) {
       up_ = true;
       wait_ = kDialAgain;
@@ -130,10 +132,10 @@
   void dial() {
     Micros now = peers_.io_.now();
     if (now < again_) return;
-    socket_ = peers_.io_.connect(address_);
+    CallResult result = peers_.io_.connect(address_, socket_);
     again_ = now + wait_ + static_cast<Micros>(peers_.random_() % static_cast<unsigned>(wait_));
     wait_ = std::min(2 * wait_, kSecond);
-    if (!socket_) return;
+    if (result != CallResult::kDone) return;
     watch_ = peers_.io_.watch(socket_.number(), *this);
     watch_->write_once(kDialTime);
   }
@@ -195,7 +197,8 @@
   for (int most = 16; most-- > 0;) {
     Socket socket;
     Io::Accepted accepted = io_.accept(listener_.number(), socket);
-    if (accepted == Io::Accepted::kNoRoom) accept_watch_->read(false);  // the sweep tries again
+    if (accepted == Io::Accepted::kNoDescriptor || accepted == Io::Accepted::kLater)
+      accept_watch_->read(false);  // the sweep tries again
     if (accepted != Io::Accepted::kOne) return;
     if (callers_.size() >= kMostCallers) callers_.erase(callers_.begin());
     std::uint64_t link = next_link_++;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -182,7 +182,9 @@
     core_.fail_all();
     clients_.end_all();
   }
-  done_ = late > kStopLinger || (core_.table().size() == 0 && clients_.connections() == 0);
+  bool nothing_left =
+      core_.table().size() == 0 && clients_.connections() == 0 && !clients_.listens();
+  done_ = late > kStopLinger || nothing_left;
   if (!done_) stop_alarm_->set(kStopStep);
 }
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "server_connection.hpp"
 
+#include <algorithm>
+
 namespace violetusher::net {
 
 using core::flight::Kind;
@@ -56,15 +58,13 @@
 
 }  // namespace
 
-ServerConnection::ServerConnection(ServerSide& side, ServerPool& pool, Socket socket,
-                                   std::uint32_t number)
+ServerConnection::ServerConnection(ServerSide& side, ServerPool& pool, std::uint32_t number)
     : side_(side),
       pool_(pool),
       number_(number),
-      socket_(std::move(socket)),
-      watch_(side.io_.watch(socket_.number(), *this)),
       reader_(side.fields_),
-      used_at_(side.io_.now()) {}
+      used_at_(side.io_.now()),
+      dial_until_(used_at_ + side.limits_.dial_timeout) {}
 
 void ServerConnection::on_ready(unsigned what) {
   if (closed_) return;
@@ -76,14 +76,33 @@
   if (what & Watch::kReadable) read();
 }
 
-void ServerConnection::await_connect() { watch_->write_once(side_.limits_.dial_timeout); }
+CallResult ServerConnection::dial() {
+  CallResult result = side_.io_.connect(*pool_.address, socket_);
+  if (result != CallResult::kDone) return result;
+  watch_ = side_.io_.watch(socket_.number(), *this);
+  watch_->write_once(std::max(dial_until_ - side_.io_.now(), kMillisecond));
+  return result;
+}
+
+void ServerConnection::dial_again() {
+  bool over = side_.io_.now() >= dial_until_;
+  CallResult result = over ? CallResult::kNoResources : dial();
+  if (over || result == CallResult::kBroken) side_.failed_dial(*this, result);
+}
 
 void ServerConnection::connected(unsigned what) {
-  bool up = !(what & Watch::kLimit) && side_.io_.connected(socket_.number());
-  side_.recorder_.note(side_.io_.now(), Kind::kDialEnd, 0, -1, number_, 0, pool_.id,
+  CallResult result =
+      what & Watch::kLimit ? CallResult::kBroken : side_.io_.connected(socket_.number());
+  Micros now = side_.io_.now();
+  if (result == CallResult::kNoResources && now < dial_until_) {
+    watch_->write_once(dial_until_ - now);
+    return;
+  }
+  bool up = result == CallResult::kDone;
+  side_.recorder_.note(now, Kind::kDialEnd, 0, -1, number_, 0, pool_.id,
                        up ? Why::kNone : Why::kDial);
   if (!up) {
-    side_.failed_dial(*this);
+    side_.failed_dial(*this, result);
     return;
   }
   connecting_ = false;
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -42,10 +42,13 @@
     void tell_time_left(Micros now);
   };
 
-  ServerConnection(ServerSide& side, ServerPool& pool, Socket socket, std::uint32_t number);
+  ServerConnection(ServerSide& side, ServerPool& pool, std::uint32_t number);
 
   void on_ready(unsigned what) override;
-  void await_connect();
+  /// Begins to connect. What this machine is out of something for is tried again by dial_again();
+  /// kBroken where it can't be done.
+  CallResult dial();
+  void dial_again();
   void flush();
   /// Behind all others. Nothing of it is written before flush().
   void queue(RequestId id, int attempt, const Command& command, Micros given_up, Micros until);
@@ -59,8 +62,9 @@
   bool begun(std::size_t place) const { return place < sent_ || (place == sent_ && partial_ > 0); }
   /// Nobody waits for anything on it.
   bool forsaken() const;
-  /// True when the peer has ended or broken the connection, or said something unasked.
-  bool ended() const { return side_.io_.has_input(socket_.number()); }
+  /// True unless it is certain that the peer has neither ended or broken the connection nor said
+  /// something unasked.
+  bool may_have_ended() const { return side_.io_.may_have_input(socket_.number()); }
   /// True when it is to be closed for what has not come in time.
   bool overdue(Micros now) const;
 
@@ -83,6 +87,7 @@
   bool long_ = false;    // a long value is passed on, or dropped, as it comes
   bool paused_ = false;  // it is not read until its client has read what came
   Micros used_at_;
+  Micros dial_until_;  // not up by then, it never will be
 
  private:
   void renew_unsent();
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -84,14 +84,11 @@
 
 ServerConnection* ServerSide::dial(ServerPool& pool) {
   if (!pool.address) return nullptr;
-  Socket socket = io_.connect(*pool.address);
-  if (!socket) return nullptr;
-  std::uint32_t number = next_connection_++;
-  recorder_.note(io_.now(), Kind::kDial, 0, -1, number, 0, pool.id);
-  pool.connections.push_back(
-      std::make_unique<ServerConnection>(*this, pool, std::move(socket), number));
+  auto fresh = std::make_unique<ServerConnection>(*this, pool, next_connection_);
+  if (fresh->dial() == CallResult::kBroken) return nullptr;
+  recorder_.note(io_.now(), Kind::kDial, 0, -1, next_connection_++, 0, pool.id);
+  pool.connections.push_back(std::move(fresh));
   ++total_;
-  pool.connections.back()->await_connect();
   return pool.connections.back().get();
 }
 
@@ -112,21 +109,23 @@
     if (!idle) break;
     // Looked at each time: what came behind the last answer, be it an end or bytes that nobody
     // asked for, would be taken for the answer to this one.
-    if (!idle->ended()) return idle;
+    if (!idle->may_have_ended()) return idle;
     close(*idle);
   }
   for (auto& c : pool.connections)  // dialled for a request that has ended since
     if (c->connecting_ && c->entries_.empty() && !c->retiring_) return c.get();
   bool may_dial = io_.now() >= pool.no_dial_until || pool.connections.empty();
-  if (may_dial && make_room(pool))
-    if (ServerConnection* c = dial(pool)) return c;
-  return least_loaded(pool);
+  ServerConnection* fresh = may_dial && make_room(pool) ? dial(pool) : nullptr;
+  if (fresh && fresh->socket_) return fresh;
+  // A dial that this machine has put off takes what nothing else can.
+  ServerConnection* busy = least_loaded(pool);
+  return busy ? busy : fresh;
 }
 
 ServerConnection* ServerSide::least_loaded(ServerPool& pool) const {
   ServerConnection* best = nullptr;
   for (auto& c : pool.connections)
-    if (!c->closed_ && !c->retiring_ && !c->long_ &&
+    if (!c->closed_ && c->socket_ && !c->retiring_ && !c->long_ &&
         (c->entries_.empty() || c->entries_.front().live) &&
         c->entries_.size() < static_cast<std::size_t>(limits_.streams) &&
         (!best || c->entries_.size() < best->entries_.size()))
@@ -263,9 +262,12 @@
 
 /// A full connection table refuses new connections while those that are open work: what waited for
 /// the dial goes behind others then. Where there are none, the server can't be reached.
-void ServerSide::failed_dial(ServerConnection& c) {
-  c.pool_.no_dial_until = io_.now() + kDialPause;
-  c.pool_.keep.on_refused();
+void ServerSide::failed_dial(ServerConnection& c, CallResult why) {
+  bool refused = why != CallResult::kNoResources;
+  if (refused) {
+    c.pool_.no_dial_until = io_.now() + kDialPause;
+    c.pool_.keep.on_refused();
+  }
   RecycledQueue<ServerConnection::Entry> waiting;
   std::swap(waiting, c.entries_);
   ServerPool& pool = c.pool_;
@@ -274,7 +276,8 @@
     ServerConnection::Entry& e = waiting.front();
     ServerConnection* other = least_loaded(pool);
     if (!other || other->connecting_) {
-      handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, Answer());
+      handler_.on_attempt_end(e.id, e.attempt, refused ? Status::ConnectFailed : Status::Moot,
+                              Answer());
       continue;
     }
     recorder_.note(io_.now(), Kind::kMoved, e.id, e.attempt, other->number_,
@@ -307,7 +310,10 @@
     give_back(pool);
     for (std::size_t k = pool.connections.size(); k-- > 0;) {
       ServerConnection& c = *pool.connections[k];
-      if (c.connecting_) continue;
+      if (c.connecting_) {
+        if (!c.socket_) c.dial_again();
+        continue;
+      }
       if (c.entries_.empty()) {
         if (c.retiring_ || now - c.used_at_ > limits_.table.longest_idle) close(c);
         continue;
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -104,7 +104,8 @@
   void touch(ServerConnection& connection);
   /// Ends the connection; every attempt on it gets its outcome.
   void close(ServerConnection& connection);
-  void failed_dial(ServerConnection& connection);
+  /// `why`: kNoResources where this machine could not dial, which is not held against the server.
+  void failed_dial(ServerConnection& connection, CallResult why);
 
   Io& io_;
   Handler& handler_;
--- a/src/net/system_io.cpp
+++ b/src/net/system_io.cpp
@@ -15,6 +15,8 @@
 
 constexpr ev_ssize_t kMaxBody = 8 << 20;
 constexpr ev_ssize_t kMaxHeaders = 64 << 10;
+// A watch that could not be armed is armed again after this.
+constexpr Micros kArmAgain = 5 * kMillisecond;
 // A connection is used for a further call within this of its last answer.
 constexpr Micros kReuseWithin = kSecond;
 // A call that fails so soon on a used connection met the end of that connection.
@@ -32,13 +34,38 @@
     read_.reset(event_new(base, socket, what, on_event, this));
     write_.reset(event_new(base, socket, EV_WRITE, on_event, this));
   }
-  void read(bool on) override { on ? event_add(read_.get(), nullptr) : event_del(read_.get()); }
+  void read(bool on) override {
+    read_on_ = on;
+    if (on)
+      arm_read();
+    else
+      event_del(read_.get());
+  }
   void write_once(Micros limit) override {
-    timeval wait = timeval_of(limit);
-    event_add(write_.get(), limit > 0 ? &wait : nullptr);
+    write_limit_ = limit;
+    arm_write();
   }
 
  private:
+  void arm_read() {
+    if (event_add(read_.get(), nullptr) != 0) try_again();
+  }
+  void arm_write() {
+    timeval wait = timeval_of(write_limit_);
+    write_unarmed_ = event_add(write_.get(), write_limit_ > 0 ? &wait : nullptr) != 0;
+    if (write_unarmed_) try_again();
+  }
+  /// The system did not take the interest; a timer needs nothing of it.
+  void try_again() {
+    if (!retry_) retry_.reset(event_new(event_get_base(read_.get()), -1, 0, on_retry, this));
+    timeval wait = timeval_of(kArmAgain);
+    event_add(retry_.get(), &wait);
+  }
+  static void on_retry(evutil_socket_t, short, void* self) {
+    auto* watch = static_cast<SystemWatch*>(self);
+    if (watch->read_on_) watch->arm_read();
+    if (watch->write_unarmed_) watch->arm_write();
+  }
   static void on_event(evutil_socket_t, short what, void* self) {
     unsigned ready = (what & (EV_READ | EV_CLOSED) ? kReadable : 0u) |
                      (what & EV_WRITE ? kWritable : 0u) | (what & EV_TIMEOUT ? kLimit : 0u) |
@@ -50,7 +77,9 @@
 
   Io& io_;
   Target& target_;
-  EventPtr read_, write_;
+  EventPtr read_, write_, retry_;
+  bool read_on_ = false, write_unarmed_ = false;
+  Micros write_limit_ = 0;
 };
 
 class SystemAlarm final : public Alarm {
@@ -181,7 +210,10 @@
   bool reused_ = false;  // the call went out on a connection that had answered before
 };
 
-bool would_block() { return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR; }
+/// For recv() and send(): what is out of memory for now is tried again, as what would block.
+ssize_t again_or_broken() {
+  return connection_result_of(errno) == CallResult::kBroken ? Io::kBroken : Io::kAgain;
+}
 
 void no_delay(int socket) {
   int on = 1;
@@ -222,59 +254,62 @@
 
 Io::Accepted SystemIo::accept(int listener, Socket& socket) {
   while (true) {
-    int fd = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    int fd = retry_interrupted(
+        [&] { return ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); });
     if (fd >= 0) {
       no_delay(fd);
       socket = Socket(*this, fd);
       return Accepted::kOne;
     }
-    if (errno == EINTR || errno == ECONNABORTED) continue;
-    return errno == EAGAIN || errno == EWOULDBLOCK ? Accepted::kNone : Accepted::kNoRoom;
+    if (concerns_one_connection(errno)) continue;
+    if (errno == EMFILE) return Accepted::kNoDescriptor;
+    return result_of(errno) == CallResult::kWouldBlock ? Accepted::kNone : Accepted::kLater;
   }
 }
 
-Socket SystemIo::connect(const sockaddr_in& address) {
-  Socket socket(*this, ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!socket) return socket;
-  no_delay(socket.number());
+CallResult SystemIo::connect(const sockaddr_in& address, Socket& socket) {
+  Socket fresh(*this, ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fresh) return result_of(errno);
+  no_delay(fresh.number());
   int result =
-      ::connect(socket.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
-  if (result != 0 && errno != EINPROGRESS) return Socket();
-  return socket;
+      ::connect(fresh.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  if (result != 0 && errno != EINPROGRESS) return result_of(errno);
+  socket = std::move(fresh);
+  return CallResult::kDone;
 }
 
-bool SystemIo::connected(int socket) {
+CallResult SystemIo::connected(int socket) {
   int error = 0;
   socklen_t size = sizeof error;
-  ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size);
-  return error == 0;
+  if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+    return CallResult::kNoResources;
+  return error == 0 ? CallResult::kDone : CallResult::kBroken;
 }
 
 ssize_t SystemIo::recv(int socket, char* to, std::size_t size) {
-  ssize_t got = ::recv(socket, to, size, 0);
-  return got >= 0 ? got : would_block() ? kAgain : kBroken;
+  ssize_t got = retry_interrupted([&] { return ::recv(socket, to, size, 0); });
+  return got >= 0 ? got : again_or_broken();
 }
 
 ssize_t SystemIo::send(int socket, const iovec* parts, std::size_t count) {
   msghdr message{};
   message.msg_iov = const_cast<iovec*>(parts);
   message.msg_iovlen = count;
-  while (true) {
-    ssize_t put = ::sendmsg(socket, &message, MSG_NOSIGNAL);
-    if (put >= 0) return put;
-    if (errno != EINTR) return would_block() ? kAgain : kBroken;
-  }
+  ssize_t put = retry_interrupted([&] { return ::sendmsg(socket, &message, MSG_NOSIGNAL); });
+  return put >= 0 ? put : again_or_broken();
 }
 
-bool SystemIo::has_input(int socket) {
+bool SystemIo::may_have_input(int socket) {
   char byte;
-  ssize_t got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got >= 0 || !would_block();
+  ssize_t got =
+      retry_interrupted([&] { return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT); });
+  return got >= 0 || connection_result_of(errno) != CallResult::kWouldBlock;
 }
 
 bool SystemIo::peer_ended(int socket) {
   pollfd one{socket, POLLRDHUP, 0};
-  return ::poll(&one, 1, 0) > 0 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR));
+  int ready = retry_interrupted([&] { return ::poll(&one, 1, 0); });
+  return ready > 0 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR));
 }
 
 void SystemIo::shut_sending(int socket) { ::shutdown(socket, SHUT_WR); }
--- a/src/net/system_io.hpp
+++ b/src/net/system_io.hpp
@@ -80,11 +80,11 @@
   Socket adopt(int descriptor, std::string& error) override;
   std::uint16_t port(int listener) const override;
   Accepted accept(int listener, Socket& socket) override;
-  Socket connect(const sockaddr_in& address) override;
-  bool connected(int socket) override;
+  CallResult connect(const sockaddr_in& address, Socket& socket) override;
+  CallResult connected(int socket) override;
   ssize_t recv(int socket, char* to, std::size_t size) override;
   ssize_t send(int socket, const iovec* parts, std::size_t count) override;
-  bool has_input(int socket) override;
+  bool may_have_input(int socket) override;
   bool peer_ended(int socket) override;
   void shut_sending(int socket) override;
   void close(int socket) override;
--- a/tests/net/held_io.hpp
+++ b/tests/net/held_io.hpp
@@ -34,19 +34,19 @@
     if (accepted == Accepted::kOne) clients_.insert(socket.number());
     return accepted;
   }
-  Socket connect(const sockaddr_in& address) override {
-    Socket socket = io_.connect(address);
-    if (socket) dials_.insert(socket.number());
-    return socket;
+  CallResult connect(const sockaddr_in& address, Socket& socket) override {
+    CallResult result = io_.connect(address, socket);
+    if (result == CallResult::kDone) dials_.insert(socket.number());
+    return result;
   }
-  bool connected(int socket) override { return io_.connected(socket); }
+  CallResult connected(int socket) override { return io_.connected(socket); }
   ssize_t recv(int socket, char* to, std::size_t size) override {
     return io_.recv(socket, to, size);
   }
   ssize_t send(int socket, const iovec* parts, std::size_t count) override {
     return io_.send(socket, parts, count);
   }
-  bool has_input(int socket) override { return io_.has_input(socket); }
+  bool may_have_input(int socket) override { return io_.may_have_input(socket); }
   bool peer_ended(int socket) override { return io_.peer_ended(socket); }
   void shut_sending(int socket) override { io_.shut_sending(socket); }
   void close(int socket) override { io_.close(socket); }
--- a/tests/net/request_core_test.cpp
+++ b/tests/net/request_core_test.cpp
@@ -51,12 +51,14 @@
     accepted.push_back(socket.number());
     return Accepted::kOne;
   }
-  Socket connect(const sockaddr_in&) override {
-    Socket s = make();
-    dialled.push_back(s.number());
-    return s;
+  CallResult connect(const sockaddr_in&, Socket& socket) override {
+    socket = make();
+    dialled.push_back(socket.number());
+    return CallResult::kDone;
+  }
+  CallResult connected(int socket) override {
+    return ends[socket].dialled ? CallResult::kDone : CallResult::kBroken;
   }
-  bool connected(int socket) override { return ends[socket].dialled; }
   ssize_t recv(int socket, char* to, std::size_t size) override {
     End& e = ends[socket];
     if (e.in.empty()) return e.ended ? 0 : kAgain;
@@ -73,7 +75,9 @@
     }
     return put;
   }
-  bool has_input(int socket) override { return ends[socket].ended || !ends[socket].in.empty(); }
+  bool may_have_input(int socket) override {
+    return ends[socket].ended || !ends[socket].in.empty();
+  }
   bool peer_ended(int socket) override { return ends[socket].ended; }
   void shut_sending(int) override {}
   void close(int socket) override { ends[socket].open = false; }
