--- a/src/daemon/audit/trail_files.cpp
+++ b/src/daemon/audit/trail_files.cpp
@@ -39,19 +39,22 @@
   fs::file_time_type changed;
 };
 
-/// In order.
-std::vector<Found> files_in(const std::string& folder) {
+/// In order. `error`: the folder could not be read, and what is returned is not all of it.
+std::vector<Found> files_in(const std::string& folder, std::error_code& error) {
   std::vector<Found> all;
-  std::error_code error;
-  for (const auto& entry : fs::directory_iterator(folder, error)) {
+  error.clear();
+  for (fs::directory_iterator at(folder, error), end; !error && at != end; at.increment(error)) {
+    const auto& entry = *at;
     std::string name = entry.path().filename().string();
     Found f{entry.path().string(), 0, 0, {}};
     int used = 0;
     if (std::sscanf(name.c_str(), "trail-%20lu.log%n", &f.number, &used) != 1 ||
         used != static_cast<int>(name.size()))
       continue;
-    f.size = static_cast<std::int64_t>(entry.file_size(error));
-    f.changed = entry.last_write_time(error);
+    std::error_code gone;  // by its writer, just now
+    f.size = static_cast<std::int64_t>(entry.file_size(gone));
+    f.changed = entry.last_write_time(gone);
+    if (gone) continue;
     all.push_back(std::move(f));
   }
   std::sort(all.begin(), all.end(), [](auto& a, auto& b) { return a.number < b.number; });
@@ -73,7 +76,8 @@
 
 std::vector<std::string> trail_files(const std::string& folder) {
   std::vector<std::string> out;
-  for (const Found& f : files_in(folder)) out.push_back(f.path);
+  std::error_code error;
+  for (const Found& f : files_in(folder, error)) out.push_back(f.path);
   return out;
 }
 
@@ -189,7 +193,9 @@
 /// What can't be read is what can't be gone on from: the trail then begins anew, past all names.
 std::string TrailFiles::find_end() {
   last_ = {};
-  auto all = files_in(settings_.folder);
+  std::error_code error;
+  auto all = files_in(settings_.folder, error);
+  if (error) return settings_.folder + ": " + error.message();
   for (auto at = all.rbegin(); at != all.rend(); ++at) {
     std::optional<core::audit::Mark> mark;
     try {
@@ -275,7 +281,9 @@
 
 /// The oldest go until there is room for another whole file.
 void TrailFiles::make_room() {
-  auto all = files_in(settings_.folder);
+  std::error_code unread;
+  auto all = files_in(settings_.folder, unread);
+  if (unread) return;  // at the next file
   std::int64_t most = std::min(settings_.size / kFiles, kMostFile), sum = most;
   for (const Found& f : all) sum += f.size;
   auto old = fs::file_time_type::clock::now() - std::chrono::microseconds(settings_.keep);
--- a/src/daemon/crossing.hpp
+++ b/src/daemon/crossing.hpp
@@ -21,8 +21,11 @@
  private:
   static void on_ready(evutil_socket_t, short, void* self);
 
+  static void on_look(evutil_socket_t, short, void* self);
+  void run();
+
   Fd bell_;
-  EventPtr event_;
+  EventPtr event_, look_;
   std::mutex mutex_;
   std::vector<std::function<void()>> tasks_;
 };
--- a/src/daemon/ledger/node.cpp
+++ b/src/daemon/ledger/node.cpp
@@ -78,6 +78,12 @@
     return begin_anew("spoilt");
   }
   std::string print = storage_.fingerprint();
+  if (print.empty()) {  // it could not be asked for, which says nothing of the files
+    open_ = false;
+    reopen_ = outside_.now() + kReopen;
+    outside_.note("ledger-disk-failed", "the ledger's files can't be looked at; tried again");
+    return;
+  }
   if (image.meta.identity != 0 && image.meta.fingerprint != print &&
       !mutant(Mutant::kOldDiskTrusted)) {
     outside_.note("ledger-disk-put-back",
@@ -127,7 +133,7 @@
   std::vector<Op> more;
   // What it has shown it goes on showing, with its disk as it was a moment ago.
   if (view_.position().at > 0) more.push_back(Op::view(view_.state().snapshot()));
-  open_ = open_ && keep_meta(std::move(more));
+  open_ = open_ && !meta_.fingerprint.empty() && keep_meta(std::move(more));
   if (!open_) reopen_ = outside_.now() + kReopen;
   outside_.note("ledger-new-identity", "ledger: begins anew (" + why + ")");
 }
--- a/src/daemon/ledger/rolled_file.cpp
+++ b/src/daemon/ledger/rolled_file.cpp
@@ -21,7 +21,8 @@
   net::Fd fd(::open(half.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644));
   bool good = static_cast<bool>(fd);
   for (std::size_t at = 0; good && at < text.size();) {
-    ssize_t put = ::write(fd.get(), text.data() + at, text.size() - at);
+    ssize_t put = net::retry_interrupted(
+        [&] { return ::write(fd.get(), text.data() + at, text.size() - at); });
     good = put > 0;
     if (good) at += static_cast<std::size_t>(put);
   }
@@ -39,10 +40,15 @@
 
 }  // namespace
 
-std::string RolledFile::label() const {
+std::optional<std::string> RolledFile::label() const {
   std::string text, own;
-  if (!net::read_plain_file(path_, text).empty()) return "none";
-  if (!net::read_plain_file(path_ + ".own", own).empty() || own == text) return "own";
+  net::CallStatus status, own_status;
+  net::read_plain_file(path_, text, &status);
+  net::read_plain_file(path_ + ".own", own, &own_status);
+  if (status.for_now() || own_status.for_now()) return std::nullopt;
+  if (!status.done()) return "none";
+  bool never_rolled = own_status.error == ENOENT;
+  if (never_rolled || (own_status.done() && own == text)) return "own";
   return core::ledger::label(text);
 }
 
@@ -50,10 +56,14 @@
   std::string own, there;
   std::string why = net::read_plain_file(path_, there);
   if (!why.empty()) return path_ + ": " + why;
-  if (!net::read_plain_file(path_ + ".own", own).empty()) {
+  net::CallStatus own_status;
+  std::string own_why = net::read_plain_file(path_ + ".own", own, &own_status);
+  if (own_status.error == ENOENT) {
     // The first roll-out that this file sees. What it holds is the router's own.
     why = write_whole(path_ + ".own", there);
     own = there;
+  } else if (!own_status.done()) {
+    return path_ + ".own: " + own_why;
   }
   if (why.empty()) why = write_whole(path_ + ".before", there);
   if (why.empty()) why = write_whole(staged(), text ? *text : own);
@@ -63,7 +73,11 @@
 
 bool RolledFile::swap() { return ::rename(staged().c_str(), path_.c_str()) == 0; }
 
-bool RolledFile::undo() { return ::rename((path_ + ".before").c_str(), path_.c_str()) == 0; }
+bool RolledFile::undo() {
+  bool done = ::rename((path_ + ".before").c_str(), path_.c_str()) == 0;
+  undo_owed_ = !done && errno != ENOENT;
+  return done;
+}
 
 void RolledFile::settle(const core::ledger::Text& text) {
   sync_folder(path_);
--- a/src/daemon/ledger/rolled_file.hpp
+++ b/src/daemon/ledger/rolled_file.hpp
@@ -5,6 +5,7 @@
 //   FILE.before  what it held a moment ago
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "core/ledger/rollout.hpp"
@@ -18,19 +19,22 @@
 
   const std::string& path() const { return path_; }
   std::string staged() const { return path_ + ".next"; }
-  /// Of the text that is there; see core::ledger::label.
-  std::string label() const;
+  /// Of the text that is there; see core::ledger::label. Nothing while it can't be read.
+  std::optional<std::string> label() const;
   /// Writes `text` beside the file, and waits for the disk. Why it could not; empty where it could.
   std::string stage(const core::ledger::Text& text);
   /// Puts the staged text in the file's place; undo() puts back what was there.
   bool swap();
+  /// Where it fails, undo_owed() until it does not.
   bool undo();
+  bool undo_owed() const { return undo_owed_; }
   /// After a swap that stands, on the ledger's thread: all of it is on the disk, and what is no
   /// longer needed is gone.
   void settle(const core::ledger::Text& text);
 
  private:
   std::string path_;
+  bool undo_owed_ = false;
 };
 
 }  // namespace violetusher::ledger
--- a/src/daemon/ledger/rollouts.cpp
+++ b/src/daemon/ledger/rollouts.cpp
@@ -12,17 +12,20 @@
                    std::vector<std::string> names, Outside outside)
     : name_(std::move(name)), names_(std::move(names)), outside_(std::move(outside)) {
   for (const auto& [rolled, f] : files)
-    files_.emplace(rolled, One{RolledFile(f.file), f.spread, {}});
+    files_.emplace(rolled, One{RolledFile(f.file), f.spread, {}, false});
 }
 
 void Rollouts::look() {
-  for (auto& [name, one] : files_) {
-    std::string has = one.file.label();
-    if (has != one.adopter.has() && !one.adopter.busy()) one.adopter.found(has);
-  }
+  for (auto& [name, one] : files_) look_at(one);
   report();
 }
 
+void Rollouts::look_at(One& one) {
+  auto has = one.file.label();
+  one.known = has.has_value();
+  if (has && *has != one.adopter.has() && !one.adopter.busy()) one.adopter.found(*has);
+}
+
 void Rollouts::on_view(const core::ledger::View& view) {
   const auto& values = view.state().values();
   for (auto& [name, one] : files_) {
@@ -39,8 +42,14 @@
 
 void Rollouts::tick() {
   if (files_.empty() || !outside_.recent()) return;
-  for (auto& [name, one] : files_)
+  for (auto& [name, one] : files_) {
+    if (one.adopter.busy()) continue;
+    if (one.file.undo_owed()) one.known = false;
+    if (one.file.undo_owed() && !one.file.undo()) continue;
+    if (!one.known) look_at(one);
+    if (!one.known) continue;
     if (auto job = one.adopter.next(outside_.now())) start(name, one, *job);
+  }
 }
 
 void Rollouts::start(const std::string& name, One& one, const Adopter::Job& job) {
--- a/src/daemon/ledger/rollouts.hpp
+++ b/src/daemon/ledger/rollouts.hpp
@@ -44,10 +44,12 @@
     RolledFile file;
     core::ledger::Micros spread;
     core::ledger::Adopter adopter;
+    bool known = false;  // what the file holds was read
   };
   void start(const std::string& name, One& one, const core::ledger::Adopter::Job& job);
   void end(const std::string& name, One& one, const core::ledger::Text& text,
            core::ledger::Adopter::End how, const std::string& why);
+  void look_at(One& one);
   void report();
 
   std::map<std::string, One> files_;
--- a/src/daemon/ledger/sqlite_storage.cpp
+++ b/src/daemon/ledger/sqlite_storage.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 
 #include "core/ledger/bytes.hpp"
+#include "net/call_result.hpp"
 
 namespace violetusher::ledger {
 namespace {
@@ -239,7 +240,9 @@
   // A file that was put back from a copy is another file, made at another time.
   struct statx info {};
   std::string path = folder_ + kFile;
-  if (::statx(AT_FDCWD, path.c_str(), 0, STATX_INO | STATX_BTIME, &info) != 0) return {};
+  int result = net::retry_interrupted(
+      [&] { return ::statx(AT_FDCWD, path.c_str(), 0, STATX_INO | STATX_BTIME, &info); });
+  if (result != 0) return {};
   return std::to_string(info.stx_dev_major) + ":" + std::to_string(info.stx_dev_minor) + ":" +
          std::to_string(info.stx_ino) + ":" + std::to_string(info.stx_btime.tv_sec) + "." +
          std::to_string(info.stx_btime.tv_nsec);
--- a/src/daemon/ledger/storage.hpp
+++ b/src/daemon/ledger/storage.hpp
@@ -81,7 +81,8 @@
   virtual bool commit(const std::vector<Op>& ops) = 0;
   /// How long the last commit took, in microseconds.
   virtual std::int64_t took() const { return 0; }
-  /// Tells files that were put back from those that have stayed; see Meta::fingerprint.
+  /// Tells files that were put back from those that have stayed; see Meta::fingerprint. Empty where
+  /// that can't be told now.
   virtual std::string fingerprint() = 0;
   /// Puts what is there out of the way, kept for people, and begins with nothing.
   virtual bool set_aside() = 0;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -11,8 +11,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <system_error>
 #include <thread>
 
+#include "core/mutants.hpp"
 #include "daemon/signals.hpp"
 #include "net/flight_file.hpp"
 #include "net/operator_file.hpp"
@@ -54,6 +56,9 @@
     } catch (const UnreadableError& e) {
       if (e.for_now) return false;
       throw;
+    } catch (const std::system_error& e) {  // no thread or descriptor to be had
+      if (result_of(e.code().value()) == CallResult::kBroken) throw;
+      return false;
     }
     return true;
   });
@@ -242,7 +247,8 @@
 
   void read_again() {
     Reload result = take_over();
-    if (result == Reload::kUnreadable) {
+    bool broken = violetusher::core::mutant(violetusher::core::Mutant::kReloadNotRetried);
+    if (result == Reload::kUnreadable && !broken) {
       reload_pause_ = std::clamp(2 * reload_pause_, kFirstReloadPause, kLongestReloadPause);
       reload_alarm_->set(reload_pause_);
       return;
--- a/src/net/ban_store.cpp
+++ b/src/net/ban_store.cpp
@@ -125,6 +125,7 @@
 /// What is out: the file's word, and over it what was promised and is not read back from it yet.
 void BanStore::show() {
   out_ = in_file_;
+  if (core::mutant(core::Mutant::kFileOverMemory)) return;
   auto lay_over = [this](const BanLine& line) {
     line.out ? static_cast<void>(out_.insert(line.id)) : static_cast<void>(out_.erase(line.id));
   };
--- a/src/net/ban_store.hpp
+++ b/src/net/ban_store.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "ban_log.hpp"
+#include "core/mutants.hpp"
 #include "io.hpp"
 
 namespace violetusher::net {
@@ -25,7 +26,9 @@
   /// From now on the server is out, or back; advance() writes it. The number of the promise.
   Number promise(const std::string& id, bool out);
   /// Whether the promise outlives a kill.
-  bool durable(Number number) const { return number <= durable_to_; }
+  bool durable(Number number) const {
+    return number <= durable_to_ || core::mutant(core::Mutant::kYesBeforeDurable);
+  }
   /// Reads and writes what is due. True where it changed what is out.
   bool advance(Micros now);
   /// When to advance again.
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "client_connection.hpp"
+#include "core/mutants.hpp"
 
 namespace violetusher::net {
 
@@ -110,6 +111,7 @@
         if (!evict()) pause_accepting(true);
         return false;
       case Io::Accepted::kLater:
+        if (core::mutant(core::Mutant::kEvictAtAnyShortage)) evict();
         pause_accepting(true);
         return false;
       case Io::Accepted::kOne:
@@ -156,6 +158,10 @@
     if (c->vacant() && !c->lingering_ && may_end(*c)) resting.push_back(c.get());
   std::sort(resting.begin(), resting.end(),
             [](const auto* a, const auto* b) { return a->used_at_ < b->used_at_; });
+  if (core::mutant(core::Mutant::kEvictAtAnyShortage) && !resting.empty()) {
+    close(*resting.front(), CloseReason::kRoom);
+    return true;
+  }
   for (ClientConnection* c : resting)
     if (c->end_resting(CloseReason::kRoom)) return true;
   return false;
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -14,7 +14,8 @@
   using std::runtime_error::runtime_error;
 };
 
-/// A file could not be read. That says nothing of what stands in it: it is to be read again.
+/// A file could not be read, or made. That says nothing of what stands in it: it is to be tried
+/// again.
 struct UnreadableError : ConfigError {
   UnreadableError(const std::string& what, bool for_now) : ConfigError(what), for_now(for_now) {}
   bool for_now;  ///< trying again may help without anybody's doing
@@ -35,6 +36,7 @@
   /// leaves if either says so.
   std::vector<std::string> unusable;
   std::string fault;
+  Micros date = 0;  ///< discovery's Unix time as it answered; 0 where it told none
 };
 
 /// Reads discovery's JSON. Throws ConfigError on anything that is not a list.
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -50,7 +50,7 @@
   calls_.born(io.now());
   for (int k = 0; k < core::membership::Calls::kPlaces; ++k) {
     auto place = static_cast<Place>(k);
-    gets_[place] = io.http([this, place](auto body) { answered(place, body); });
+    gets_[place] = io.http([this, place](auto answer) { answered(place, answer); });
   }
 }
 
@@ -115,10 +115,11 @@
                {{"address", std::string_view(address_)}});
 }
 
-std::optional<HostList> Discovery::list_of(const std::optional<std::string>& body) {
-  if (!body) return std::nullopt;
+std::optional<HostList> Discovery::list_of(const std::optional<HttpGet::Answer>& answer) {
+  if (!answer) return std::nullopt;
   try {
-    HostList list = parse_host_list(*body);
+    HostList list = parse_host_list(answer->body);
+    list.date = answer->date;
     fault(list.fault);
     return list;
   } catch (const ConfigError& e) {
@@ -127,8 +128,8 @@
   }
 }
 
-void Discovery::answered(Place place, const std::optional<std::string>& body) {
-  std::optional<HostList> list = list_of(body);
+void Discovery::answered(Place place, const std::optional<HttpGet::Answer>& http) {
+  std::optional<HostList> list = list_of(http);
   Answer answer;
   if (list) {
     answer.list = true;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -54,8 +54,8 @@
   void drop(Place place) override;
   void gave_up() override;
 
-  void answered(Place place, const std::optional<std::string>& body);
-  std::optional<HostList> list_of(const std::optional<std::string>& body);
+  void answered(Place place, const std::optional<HttpGet::Answer>& http);
+  std::optional<HostList> list_of(const std::optional<HttpGet::Answer>& answer);
   void fault(const std::string& text);
   void arm();
 
--- a/src/net/flight_file.cpp
+++ b/src/net/flight_file.cpp
@@ -17,7 +17,9 @@
                        Micros now)
     : path_(path), bytes_(bytes / core::flight::kBlock * core::flight::kBlock) {
   auto fail = [&](const char* what) {
-    throw ConfigError("recorder: " + path + ": " + what + ": " + std::strerror(errno));
+    CallStatus status = CallStatus::failed();
+    throw UnreadableError("recorder: " + path + ": " + what + ": " + status.reason(),
+                          status.for_now());
   };
   // What the process before has left is what somebody may want to read.
   if (::rename(path.c_str(), (path + ".before").c_str()) != 0 && errno != ENOENT)
--- a/src/net/host_book.cpp
+++ b/src/net/host_book.cpp
@@ -40,6 +40,9 @@
 }
 
 HostList HostBook::take(HostList&& told, bool doubted) {
+  for (Host& host : told.hosts)
+    host.server.up_since = starts_.of(host.server.id, host.server.up_since);
+  if (told.whole) starts_.forget_unasked();
   if (doubted)
     for (Host& host : told.hosts)
       if (host.server.health == Health::Ready && leaves(host))
--- a/src/net/host_book.hpp
+++ b/src/net/host_book.hpp
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "config.hpp"
+#include "core/membership/start_times.hpp"
 #include "io.hpp"
 
 namespace violetusher::net {
@@ -19,6 +20,8 @@
  public:
   explicit HostBook(const HostList& known) { keep(known); }
 
+  /// An answer of discovery came at `now`, with its own time `date` in it; see StartTimes.
+  void heard(Micros now, Micros date) { starts_.heard(now, date); }
   /// Takes over what discovery tells and gives the list as the router is to take it. Entries that
   /// could not be used stay as they were. `doubted`: discovery may know less than what is held, so
   /// whoever was told to leave, or has left lately, stays so unless started anew.
@@ -48,6 +51,7 @@
   std::string version_;
   std::map<std::string, Host> hosts_;  // as told, those that have left not
   std::set<std::string> out_;
+  core::membership::StartTimes starts_;
   // Of those that have left, when they had started; the oldest is forgotten past kMostLeft.
   static constexpr std::size_t kMostLeft = 4096;
   std::unordered_map<std::string, Micros> left_;
--- a/src/net/io.hpp
+++ b/src/net/io.hpp
@@ -85,8 +85,13 @@
 /// One HTTP GET at a time.
 class HttpGet {
  public:
-  /// Gets the body of a 200, or nothing where the call failed in any way. Not called from start().
-  using Done = std::function<void(std::optional<std::string> body)>;
+  struct Answer {
+    std::string body;
+    Micros date = 0;  ///< Unix time by its Date; 0 where it has none
+  };
+  /// Gets the answer of a 200, or nothing where the call failed in any way. Not called from
+  /// start().
+  using Done = std::function<void(std::optional<Answer> answer)>;
   virtual ~HttpGet() = default;
   /// Begins a call; one that is under way is dropped.
   virtual void start(const std::string& address, const std::string& path, Micros limit) = 0;
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -91,6 +91,7 @@
  private:
   // Discovery::Handler
   void on_hosts(HostList&& list, bool doubted) override {
+    operations_.hosts().heard(io_.now(), list.date);
     servers_.take_list(pools_.take(operations_.hosts().take(std::move(list), doubted)));
     acts_anew();
   }
--- a/src/net/system_io.cpp
+++ b/src/net/system_io.cpp
@@ -7,8 +7,10 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <ctime>
 
 namespace violetusher::net {
 namespace {
@@ -106,6 +108,13 @@
   EventPtr event_;
 };
 
+/// Unix time of an HTTP date in the form that RFC 9110 asks for; 0 where it is none.
+Micros date_of(const char* text) {
+  std::tm parts{};
+  if (!text || !::strptime(text, "%a, %d %b %Y %H:%M:%S GMT", &parts)) return 0;
+  return std::max<Micros>(::timegm(&parts), 0) * kSecond;
+}
+
 class SystemHttpGet final : public HttpGet {
  public:
   SystemHttpGet(Io& io, event_base* base, Done done)
@@ -130,7 +139,7 @@
     if (under_way_ && reused_) no_reuse_until_ = io_.now() + kNoReuse;
     if (under_way_) connection_.reset();
     under_way_ = false;
-    body_.reset();
+    answer_.reset();
     event_del(ready_.get());
   }
 
@@ -168,12 +177,14 @@
 
   static void on_answer(evhttp_request* request, void* self) {
     auto* call = static_cast<SystemHttpGet*>(self);
-    call->body_.reset();
+    call->answer_.reset();
     if (request && evhttp_request_get_response_code(request) == 200) {
       evbuffer* in = evhttp_request_get_input_buffer(request);
-      std::size_t size = evbuffer_get_length(in);
-      call->body_.emplace(size, '\0');
-      evbuffer_copyout(in, call->body_->data(), size);
+      Answer answer;
+      answer.body.resize(evbuffer_get_length(in));
+      evbuffer_copyout(in, answer.body.data(), answer.body.size());
+      answer.date = date_of(evhttp_find_header(evhttp_request_get_input_headers(request), "Date"));
+      call->answer_ = std::move(answer);
     }
     event_active(call->ready_.get(), 0, 0);
   }
@@ -187,15 +198,15 @@
 
   void end() {
     Micros now = io_.now();
-    if (!body_) connection_.reset();
-    if (!body_ && reused_ && now - started_ <= kStaleWithin) {
+    if (!answer_) connection_.reset();
+    if (!answer_ && reused_ && now - started_ <= kStaleWithin) {
       reused_ = false;
       make();
       return;
     }
     answered_ = now;
     under_way_ = false;
-    done_(std::exchange(body_, std::nullopt));
+    done_(std::exchange(answer_, std::nullopt));
   }
 
   Io& io_;
@@ -203,7 +214,7 @@
   Done done_;
   std::unique_ptr<evhttp_connection, ConnectionFree> connection_;
   EventPtr ready_;
-  std::optional<std::string> body_;
+  std::optional<Answer> answer_;
   std::string address_, path_, connected_to_;
   Micros limit_ = 0, started_ = 0, answered_ = 0, no_reuse_until_ = 0;
   bool under_way_ = false;
--- a/tests/daemon/io_faults_test.cpp
+++ b/tests/daemon/io_faults_test.cpp
@@ -259,6 +259,18 @@
   EXPECT_EQ(served, 400) << unserved_;
 }
 
+TEST_F(IoFaults, AClockSteppedBeforeTheStartMakesNoColdServerWarm) {
+  options_.cold_us = "60000000";
+  std::int64_t now_ms = std::time(nullptr) * std::int64_t{1000};
+  discovery_.started("s-1", second_.address(), now_ms - 2000);
+  faults("clock step=1h\n");
+  auto daemon = start();
+  read_keys(daemon->port(), "r", 300);
+  std::size_t cold = second_.lines().size(), warm = first_.lines().size();
+  EXPECT_LT(cold, warm / 2);
+  EXPECT_GT(warm, 0u);
+}
+
 TEST_F(IoFaults, AStartOutlivesCallsThatFailForAMoment) {
   faults(
       "open path=config.json error=ENFILE|EIO times=3\n"
--- a/tests/daemon/process_support.hpp
+++ b/tests/daemon/process_support.hpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdlib>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
 #include <list>
@@ -113,6 +114,9 @@
       settings.push_back("VIOLETUSHER_FAULTS=" + folder_.file("faults"));
       settings.push_back("VIOLETUSHER_FAULTS_LOG=" + folder_.file("faults.log"));
     }
+    // Another build of the daemon, which the tests are to fail on.
+    const char* planted = std::getenv("VIOLETUSHER_TESTED_PROGRAM");
+    std::string program = planted ? planted : VIOLETUSHER_PROGRAM;
     pid_ = ::fork();
     if (pid_ != 0) return;
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -121,11 +125,11 @@
     for (const char* name : {"NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_OPERATOR"})
       ::unsetenv(name);
     for (std::string& one : settings) ::putenv(one.data());
-    std::vector<char*> arguments{const_cast<char*>(VIOLETUSHER_PROGRAM)};
+    std::vector<char*> arguments{program.data()};
     for (const std::string& one : options.arguments)
       arguments.push_back(const_cast<char*>(one.c_str()));
     arguments.push_back(nullptr);
-    ::execv(VIOLETUSHER_PROGRAM, arguments.data());
+    ::execv(program.c_str(), arguments.data());
     ::_exit(127);
   }
 
@@ -176,6 +180,14 @@
   std::string address() const { return loopback_text(port_); }
   int calls() const { return calls_; }
   int connections() const { return connections_; }
+  /// The list names this start of the server, in milliseconds of Unix time.
+  void started(const std::string& id, const std::string& dial, std::int64_t born_ms) {
+    std::lock_guard lock(mutex_);
+    const std::string none = "\"born_ms\":0";
+    std::string entry = host_entry(id, dial);
+    entry.replace(entry.find(none), none.size(), "\"born_ms\":" + std::to_string(born_ms));
+    entries_[id] = entry;
+  }
   /// From now on the server is told of as "leaving", "active" or "left".
   void tell(const std::string& id, const std::string& dial, const std::string& health) {
     std::lock_guard lock(mutex_);
@@ -211,8 +223,12 @@
       ++calls_;
       std::string body = answer(head);
       bool close = head.find("Connection: close") != head.npos;
-      std::string text = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-                         "\r\n" + (close ? "Connection: close\r\n" : "") + "\r\n" + body;
+      char date[64];
+      std::time_t now = std::time(nullptr);
+      std::strftime(date, sizeof date, "Date: %a, %d %b %Y %H:%M:%S GMT\r\n", std::gmtime(&now));
+      std::string text = std::string("HTTP/1.1 200 OK\r\n") + date +
+                         "Content-Length: " + std::to_string(body.size()) + "\r\n" +
+                         (close ? "Connection: close\r\n" : "") + "\r\n" + body;
       if (::send(fd, text.data(), text.size(), MSG_NOSIGNAL) < 0 || close) break;
     }
     ::shutdown(fd, SHUT_RDWR);
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -255,7 +255,7 @@
   std::string key_ttl_us = "5000000";
   std::string dial_timeout_us = "75000";
   int routers = 2;  ///< of the tier
-  std::string drain_grace_us = "0";
+  std::string drain_grace_us = "0", cold_us = "0";
 };
 
 inline std::string config_text(const RouterOptions& o) {
@@ -286,7 +286,7 @@
          (o.second_copies ? "true" : "false") + R"(,"RetryAfter":)" +
          (o.retry_after ? "true" : "false") + R"(,"MaxRetryAfterUs":1000000},)" +
          R"("Report":{"How":"inline","Fields":["load_share"]},"Rules":{"DrainGraceUs":)" +
-         o.drain_grace_us + "}}}";
+         o.drain_grace_us + R"(,"ColdShare":0.1,"ColdUs":)" + o.cold_us + "}}}";
 }
 
 /// A router in a thread of its own, which ends with the object.
