Stand-in discovery sees that the caller of a watch has gone; dials put off end sooner

Trace: r8 was killed at 7.56 s; the stand-in wrote the change at 9.55 s to the dead process's connection and booked it as told to the new one, which made its first call at 11.5 s, as lists that are asked for allow. evhttp does not read while a call is held, so that the end is seen only at the next write; and on a kept connection it has let the request go by then, so that on_closed did not find it. The stand-in reads on and finds calls by their connection. Test Discovery.AWatchWhoseCallerHasGoneIsToldNothing fails without it.

A dial that can't begin is given up after 15 ms now.

--- a/src/kit/standin/discovery.cpp
+++ b/src/kit/standin/discovery.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
@@ -156,6 +157,7 @@
   }
   Call call;
   call.request = request;
+  call.connection = evhttp_request_get_connection(request);
   call.router = door->router;
   call.came = self->loop_.now();
   evkeyvalq pairs;
@@ -176,7 +178,9 @@
     }
   }
   // One that waits is dropped when its caller goes; evhttp frees the request then.
-  evhttp_connection_set_closecb(evhttp_request_get_connection(request), on_closed, self);
+  evhttp_connection_set_closecb(call.connection, on_closed, self);
+  // Else evhttp would see its end only at the next write.
+  bufferevent_enable(evhttp_connection_get_bufferevent(call.connection), EV_READ);
   self->told_.asked(call.router, call.came);
   if (self->spec_.pushed) {
     self->take(call);
@@ -190,7 +194,12 @@
 
 void DiscoveryStandin::on_closed(evhttp_connection* connection, void* at) {
   auto* self = static_cast<DiscoveryStandin*>(at);
-  auto gone = [&](const Call& c) { return evhttp_request_get_connection(c.request) == connection; };
+  auto gone = [&](const Call& c) {
+    if (c.connection != connection) return false;
+    // Of one that was read to its end evhttp has let the request go.
+    if (!evhttp_request_get_connection(c.request)) evhttp_request_free(c.request);
+    return true;
+  };
   std::erase_if(self->queue_, gone);
   auto watch = std::find_if(self->watches_.begin(), self->watches_.end(), gone);
   if (watch == self->watches_.end()) return;
--- a/src/kit/standin/discovery.hpp
+++ b/src/kit/standin/discovery.hpp
@@ -56,6 +56,7 @@
   };
   struct Call {
     evhttp_request* request = nullptr;
+    evhttp_connection* connection = nullptr;
     int router = 0;
     Micros came = 0, until = 0;
     std::uint64_t index = 0;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -20,6 +20,9 @@
 constexpr Micros kAbandonTime = kSecond;
 // Bytes of a long value that must have come before its length is believed and it is passed on.
 constexpr std::size_t kBelieved = 16u << 10;
+// So long a dial is put off that this machine can't begin: five of them in a row, at five servers,
+// are over before the refusal that follows comes late.
+constexpr Micros kPutOffTime = 15 * kMillisecond;
 // What the texts of an entry, and of an answer, keep of their memory for the next one.
 constexpr std::size_t kKeptBytes = 1024, kKeptValue = 4096;
 
@@ -64,7 +67,8 @@
       number_(number),
       reader_(side.fields_),
       used_at_(side.io_.now()),
-      dial_until_(used_at_ + side.limits_.dial_timeout) {}
+      dial_until_(used_at_ + side.limits_.dial_timeout),
+      put_off_until_(used_at_ + std::min(side.limits_.dial_timeout, kPutOffTime)) {}
 
 void ServerConnection::on_ready(unsigned what) {
   if (closed_) return;
@@ -85,7 +89,7 @@
 }
 
 void ServerConnection::dial_again() {
-  bool over = side_.io_.now() >= dial_until_;
+  bool over = side_.io_.now() >= put_off_until_;
   CallResult result = over ? CallResult::kNoResources : dial();
   if (over || result == CallResult::kBroken) side_.failed_dial(*this, result);
 }
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -89,7 +89,8 @@
   bool long_ = false;    // a long value is passed on, or dropped, as it comes
   bool paused_ = false;  // it is not read until its client has read what came
   Micros used_at_;
-  Micros dial_until_;  // not up by then, it never will be
+  Micros dial_until_;     // not up by then, it never will be
+  Micros put_off_until_;  // this machine could not begin to dial by then: nor is it tried again
 
  private:
   void renew_unsent();
--- a/tests/kit/standin/wire_test.cpp
+++ b/tests/kit/standin/wire_test.cpp
@@ -521,6 +521,27 @@
   EXPECT_EQ(history.told.back().health, Health::Draining);
 }
 
+TEST(Discovery, AWatchWhoseCallerHasGoneIsToldNothing) {
+  Fault f = on_first(FaultKind::kDrain, 3'600'000'000);
+  f.from = 600'000;
+  RunningFleet fleet({f});
+  std::string list = call(fleet.discovery_port(), "");
+  std::string seq = list.substr(list.find("\"seq\":") + 6);
+  seq = seq.substr(0, seq.find(','));
+  std::string head = "GET /discovery/hosts?index=" + seq;
+  for (int calls = 1; calls <= 2; ++calls) {
+    Client caller(fleet.discovery_port());
+    for (int k = 1; k < calls; ++k) {  // the connection has carried a call before
+      caller.send(head + "&wait=50 HTTP/1.1\r\nHost: x\r\n\r\n");
+      EXPECT_EQ(caller.line(), "HTTP/1.1 200 OK");
+    }
+    caller.send(head + "&wait=20000 HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  for (const auto& told : fleet.stop().told) EXPECT_EQ(told.health, Health::Ready);
+}
+
 TEST(Discovery, DownFailsCallsAndEndsWatches) {
   Fault f;
   f.kind = FaultKind::kDiscoveryDown;
