--- a/src/kit/main.cpp
+++ b/src/kit/main.cpp
@@ -14,6 +14,7 @@
 #include "kit/ledger/rollout.hpp"
 #include "kit/losses/command.hpp"
 #include "kit/rehearse/command.hpp"
+#include "kit/soak/command.hpp"
 
 int main(int argc, char** argv) {
   ::signal(SIGPIPE, SIG_IGN);
@@ -30,6 +31,7 @@
   violetusher::kit::add_audit(app, code);
   violetusher::kit::add_trail(app, code);
   violetusher::chaos::add_chaos(app, argv[0], code);
+  violetusher::soak::add_soak(app, argv[0], code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- /dev/null
+++ b/src/kit/soak/actors.cpp
@@ -0,0 +1,118 @@
+#include "actors.hpp"
+
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace violetusher::soak {
+namespace {
+
+constexpr Micros kMillisecond = 1000, kSecond = 1'000'000;
+constexpr Micros kStep = 5 * kMillisecond;
+constexpr Micros kAnswerWithin = 2 * kSecond;
+// A call that did not come through, as its router was down, is made again.
+constexpr Micros kCallAgain = 200 * kMillisecond;
+
+net::Fd connect_to(const std::string& address) {
+  auto to = net::parse_address(address);
+  net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  if (!to || ::connect(fd.get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0)
+    return net::Fd();
+  return fd;
+}
+
+/// The whole answer to one line; what has come where it does not end in time.
+std::string ask(const std::string& address, const std::string& line) {
+  net::Fd fd = connect_to(address);
+  if (!fd || ::send(fd.get(), line.data(), line.size(), MSG_NOSIGNAL) < 0) return {};
+  std::string text;
+  for (Micros waited = 0; waited < kAnswerWithin; waited += 50 * kMillisecond) {
+    pollfd ready{fd.get(), POLLIN, 0};
+    if (::poll(&ready, 1, 50) <= 0) continue;
+    char bytes[256];
+    ssize_t got = ::recv(fd.get(), bytes, sizeof bytes, 0);
+    if (got <= 0) break;
+    text.append(bytes, static_cast<std::size_t>(got));
+    if (text.find('\n') != text.npos) break;
+  }
+  return text;
+}
+
+}  // namespace
+
+Actors::Actors(const Schedule& schedule, std::vector<Router> routers)
+    : schedule_(schedule), routers_(std::move(routers)) {}
+
+void Actors::start(const net::Clock& clock, Micros origin) {
+  clock_ = &clock;
+  origin_ = origin;
+  for (const Ban& one : schedule_.bans) threads_.emplace_back([this, &one] { ban(one); });
+  for (const Signals& one : schedule_.signals) threads_.emplace_back([this, &one] { signal(one); });
+  for (const Crowd& one : schedule_.crowds) threads_.emplace_back([this, &one] { crowd(one); });
+}
+
+void Actors::join() {
+  stop_ = true;
+  for (std::thread& thread : threads_) thread.join();
+  threads_.clear();
+  std::sort(calls_.begin(), calls_.end(),
+            [](const BanCall& a, const BanCall& b) { return a.called < b.called; });
+}
+
+/// False where the run ended first.
+bool Actors::wait_until(Micros at) const {
+  while (!stop_ && clock_->now() < origin_ + at)
+    std::this_thread::sleep_for(std::chrono::microseconds(kStep));
+  return !stop_;
+}
+
+void Actors::ban(const Ban& ban) {
+  if (wait_until(ban.from)) call(ban, true);
+  if (wait_until(ban.until)) call(ban, false);
+}
+
+void Actors::call(const Ban& ban, bool out) {
+  const Router& router = routers_[static_cast<std::size_t>(ban.router)];
+  for (int tries = 0; tries < 10 && !stop_; ++tries) {
+    BanCall call{ban.router, ban.server, out, clock_->now(), 0, false};
+    std::string answer =
+        ask(router.operators, (out ? "OFFLINE " : "ONLINE ") + ban.server + "\r\n");
+    bool whole = answer.find('\n') != answer.npos;
+    call.answered = whole ? clock_->now() : 0;
+    call.yes = whole && answer.rfind("SUCCESS", 0) == 0;
+    {
+      std::lock_guard lock(mutex_);
+      calls_.push_back(call);
+    }
+    if (call.yes) return;
+    std::this_thread::sleep_for(std::chrono::microseconds(kCallAgain));
+  }
+}
+
+void Actors::signal(const Signals& signals) {
+  if (!wait_until(signals.at)) return;
+  for (int k = 0; k < signals.count && !stop_; ++k) {
+    int pid = routers_[static_cast<std::size_t>(signals.router)].pid();
+    if (pid > 0) ::kill(pid, signals.number);
+    std::this_thread::sleep_for(std::chrono::microseconds(signals.apart));
+  }
+}
+
+/// Some say nothing, some stop in the middle of a command, some leave and come again.
+void Actors::crowd(const Crowd& crowd) {
+  if (!wait_until(crowd.from)) return;
+  const Router& router = routers_[static_cast<std::size_t>(crowd.router)];
+  std::vector<net::Fd> open(static_cast<std::size_t>(crowd.connections));
+  for (std::size_t turn = 0; !stop_ && clock_->now() < origin_ + crowd.until; ++turn) {
+    net::Fd& one = open[turn % open.size()];
+    one = connect_to(router.clients);
+    if (one && turn % 3 == 1) ::send(one.get(), "mg k", 4, MSG_NOSIGNAL);
+    if (one && turn % 7 == 2) ::send(one.get(), "mn\r\n", 4, MSG_NOSIGNAL);
+    std::this_thread::sleep_for(std::chrono::microseconds(2 * kMillisecond));
+  }
+}
+
+}  // namespace violetusher::soak
--- /dev/null
+++ b/src/kit/soak/schedule.cpp
@@ -0,0 +1,245 @@
+#include "schedule.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <random>
+
+namespace violetusher::soak {
+namespace {
+
+constexpr Micros kMillisecond = 1000, kSecond = 1'000'000;
+// Servers that no event and no ban is about, so that there is always one to serve.
+constexpr int kSpared = 3;
+constexpr int kHalls = 3;
+constexpr const char* kHallNames[] = {"bole", "kality", "piassa"};
+
+std::string ms(Micros span) { return std::to_string(span / kMillisecond) + "ms"; }
+
+class Drawer {
+ public:
+  Drawer(std::uint64_t seed, const Bounds& bounds) : random_(seed) {
+    s_.seed = seed;
+    s_.seconds = bounds.seconds;
+    s_.routers = bounds.routers;
+    s_.servers = std::clamp(bounds.routers / 2 + 6, 8, 16);
+    s_.rate = 40.0 * bounds.routers;
+    s_.pushed = chance(0.6);
+    length_ = static_cast<Micros>(bounds.seconds * kSecond);
+    for (int k = 1 + kSpared; k <= s_.servers; ++k) free_.push_back(k);
+    std::shuffle(free_.begin(), free_.end(), random_);
+  }
+
+  Schedule draw() {
+    int events = between(4, 9);
+    for (int k = 0; k < events; ++k) event();
+    failing_calls();
+    int bans = between(1, 3);
+    for (int k = 0; k < bans; ++k) ban();
+    int signals = between(1, 4);
+    for (int k = 0; k < signals; ++k) signal();
+    if (chance(0.3)) crowd();
+    return std::move(s_);
+  }
+
+ private:
+  int between(int from, int to) { return std::uniform_int_distribution<int>(from, to)(random_); }
+  Micros span(Micros from, Micros to) {
+    return std::uniform_int_distribution<Micros>(from, to)(random_);
+  }
+  bool chance(double part) { return std::uniform_real_distribution<double>(0, 1)(random_) < part; }
+  int router() { return between(0, s_.routers - 1); }
+  /// A moment that leaves a second for what follows.
+  Micros moment() { return span(kSecond, length_ - 2 * kSecond); }
+  /// A server that no event is about yet; empty once all are.
+  std::string server() {
+    if (free_.empty()) return {};
+    std::string id = "pc-" + std::to_string(free_.back());
+    free_.pop_back();
+    return id;
+  }
+
+  void add(const std::string& what, Micros at, Micros until, const std::string& more = {}) {
+    std::string text = "[[event]]\nwhat = \"" + what + "\"\nat = \"" + ms(at) + "\"\n";
+    if (until > 0) text += "until = \"" + ms(std::min(until, length_ - kMillisecond)) + "\"\n";
+    s_.events.push_back({text + more});
+  }
+
+  void event() {
+    Micros at = moment(), until = at + span(kSecond, 4 * kSecond);
+    int kind = between(0, 9);
+    if (kind <= 3) {
+      server_event(at, until);
+    } else if (kind <= 5) {
+      discovery_event(at, until);
+    } else if (kind <= 8) {
+      std::string who = "routers = \"r" + std::to_string(1 + router()) + "\"\n";
+      static const char* const kWhat[] = {"router-restarts", "router-restarts", "router-killed",
+                                          "router-reloads"};
+      const char* what = kWhat[between(0, 3)];
+      bool ends = std::string(what) == "router-killed";
+      add(what, at, ends ? at + span(100 * kMillisecond, kSecond) : 0, who);
+    } else {
+      add("hall-cut-off", at, until,
+          std::string("hall = \"") + kHallNames[between(0, kHalls - 1)] + "\"\n");
+    }
+  }
+
+  void server_event(Micros at, Micros until) {
+    std::string id = server();
+    if (id.empty()) return;
+    std::string who = "servers = \"" + id + "\"\n";
+    static const char* const kWhat[] = {
+        "drains", "drains", "drains", "vanishes", "dies",    "accepts-never-answers",
+        "slow",   "errors", "resets", "busy",     "replaced"};
+    std::string what = kWhat[between(0, 10)];
+    if (what == "drains") until = length_;
+    if (what == "errors" || what == "resets" || what == "busy") who += "rate = 0.5\n";
+    add(what, at, what == "replaced" ? 0 : until, who);
+  }
+
+  void discovery_event(Micros at, Micros until) {
+    switch (between(0, 3)) {
+      case 0:
+        return add("watches-silent", at, 0);
+      case 1:
+        return add("watches-reset", at, 0);
+      case 2:
+        return add("discovery-down", at, until);
+      default:
+        return s_.pushed ? add("watches-reset", at, 0)
+                         : add("discovery-slow", at, until, "delay = \"300ms\"\n");
+    }
+  }
+
+  void fails(int router, const std::string& rule) { s_.failing.push_back({router, rule}); }
+
+  /// Bursts of failing calls at some of the routers, as Linux documents them. A broken connection
+  /// is not among them: the library could not break the other end as well.
+  void failing_calls() {
+    static const char* const kRules[] = {
+        "accept4 error=ENFILE|ENOBUFS|ENOMEM|ECONNABORTED",
+        "socket error=ENFILE|ENOBUFS|ENOMEM",
+        "connect error=EADDRNOTAVAIL|ENETUNREACH",
+        "recv,readv,read error=EINTR",
+        "sendmsg,send,writev error=EINTR|ENOBUFS",
+        "sendmsg,writev short=7",
+        "recv,readv short=5",
+        "epoll_wait error=EINTR",
+        "epoll_ctl error=ENOMEM|ENOSPC",
+        "getsockopt,poll error=EINTR|ENOBUFS",
+        "open,pread,write,fdatasync path=.bans error=ENOSPC|EIO|ENFILE",
+        "write path=.bans short=4",
+        "open path=/proc/self/fd/3 error=ENFILE|EIO",
+    };
+    for (int r = 0; r < s_.routers; ++r) {
+      if (chance(0.3)) continue;
+      int rules = between(1, 4);
+      for (int k = 0; k < rules; ++k) {
+        std::string when = " from=" + ms(span(0, 3 * kSecond)) +
+                           " every=" + ms(span(2 * kSecond, 5 * kSecond)) +
+                           " for=" + ms(span(200 * kMillisecond, 900 * kMillisecond));
+        bool always = chance(0.15);
+        std::string part = always ? "" : " chance=" + std::to_string(0.05 + 0.05 * between(1, 8));
+        fails(r, kRules[between(0, std::size(kRules) - 1)] + part + when);
+      }
+      if (chance(0.3)) fails(r, "sendmsg delay=100ms chance=0.002");
+      if (chance(0.3))
+        fails(r, std::string("clock step=") + (chance(0.5) ? "" : "-") +
+                     (chance(0.5) ? "1h" : "7s") + " from=" + ms(moment()));
+    }
+  }
+
+  void ban() {
+    std::string id = server();
+    if (id.empty()) return;
+    Micros from = moment();
+    s_.bans.push_back({router(), id, from, from + span(kSecond, 5 * kSecond)});
+  }
+
+  void signal() {
+    static const int kNumbers[] = {SIGHUP, SIGHUP, SIGUSR1};
+    s_.signals.push_back(
+        {router(), kNumbers[between(0, 2)], moment(), between(1, 8), span(0, 50 * kMillisecond)});
+  }
+
+  void crowd() {
+    Micros from = moment();
+    s_.crowds.push_back({router(), between(100, 280), from, from + span(kSecond, 4 * kSecond)});
+  }
+
+  std::mt19937_64 random_;
+  Schedule s_;
+  Micros length_ = 0;
+  std::vector<int> free_;  // servers that no event is about
+};
+
+template <typename List>
+bool drop(List& list, std::size_t& item) {
+  if (item >= list.size()) {
+    item -= list.size();
+    return false;
+  }
+  list.erase(list.begin() + static_cast<std::ptrdiff_t>(item));
+  return true;
+}
+
+}  // namespace
+
+std::size_t Schedule::size() const {
+  return events.size() + failing.size() + bans.size() + signals.size() + crowds.size();
+}
+
+Schedule Schedule::without(std::size_t item) const {
+  Schedule less = *this;
+  bool dropped = drop(less.events, item) || drop(less.failing, item) || drop(less.bans, item) ||
+                 drop(less.signals, item) || drop(less.crowds, item);
+  (void)dropped;
+  return less;
+}
+
+std::string Schedule::day() const {
+  std::string halls;
+  for (int r = 0; r < routers; ++r)
+    halls += (r > 0 ? ", \"" : "\"") + std::string(kHallNames[r % kHalls]) + "\"";
+  std::string text = "name = \"soak\"\nlength = \"" + ms(static_cast<Micros>(seconds * kSecond)) +
+                     "\"\nseed = " + std::to_string(seed % 1'000'000) +
+                     "\n[[fleet.servers]]\nkind = \"std-4c\"\ncount = " + std::to_string(servers) +
+                     "\n[discovery]\npushed = " + (pushed ? "true" : "false") +
+                     "\nnotice = \"100ms\"\ncalls = \"" + std::to_string(20 + 3 * routers) +
+                     "/s\"\n[routers]\nhalls = [" + halls + "]\n[tills]\nrate = \"" +
+                     std::to_string(static_cast<int>(rate)) +
+                     "/s\"\nkeys = 2000\nimpatient = 0.03\n"
+                     "[rig]\nlate_p99 = \"50ms\"\nlate_worst = \"1s\"\n";
+  for (const DayEvent& event : events) text += event.text;
+  return text;
+}
+
+std::string Schedule::faults(int router) const {
+  std::string text = "seed " + std::to_string(seed % 1'000'000 + 1) + "\n";
+  for (const FailingCall& one : failing)
+    if (one.router == router) text += one.rule + "\n";
+  return text;
+}
+
+std::string Schedule::text() const {
+  std::string text = day();
+  for (const FailingCall& one : failing)
+    text += "# r" + std::to_string(one.router + 1) + ": " + one.rule + "\n";
+  for (const Ban& one : bans)
+    text += "# r" + std::to_string(one.router + 1) + ": " + one.server + " out from " +
+            ms(one.from) + " until " + ms(one.until) + "\n";
+  for (const Signals& one : signals)
+    text += "# r" + std::to_string(one.router + 1) + ": signal " + std::to_string(one.number) +
+            " at " + ms(one.at) + ", " + std::to_string(one.count) + " times, " + ms(one.apart) +
+            " apart\n";
+  for (const Crowd& one : crowds)
+    text += "# r" + std::to_string(one.router + 1) + ": a crowd of " +
+            std::to_string(one.connections) + " from " + ms(one.from) + " until " + ms(one.until) +
+            "\n";
+  return text;
+}
+
+Schedule draw(std::uint64_t seed, const Bounds& bounds) { return Drawer(seed, bounds).draw(); }
+
+}  // namespace violetusher::soak
