--- a/src/kit/common/history.hpp
+++ b/src/kit/common/history.hpp
@@ -2,7 +2,9 @@
 // All times are microseconds on one monotonic clock of the machine.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -124,4 +126,14 @@
   std::vector<ServerSample> server_samples;
 };
 
+/// No attempt began before its till had sent the request: what lay in a listener's queue through a
+/// cut is noted as come with the cut's begin.
+inline void begin_after_requests(History& history) {
+  std::map<std::pair<std::uint64_t, int>, Micros> sent;
+  for (const TryRecord& t : history.tries) sent[{t.request, t.number}] = t.sent;
+  for (AttemptRecord& a : history.attempts)
+    if (auto it = sent.find({a.request, a.attempt_try}); it != sent.end())
+      a.first_byte = std::max(a.first_byte, it->second);
+}
+
 }  // namespace violetusher::kit
--- a/src/kit/rehearse/rig.cpp
+++ b/src/kit/rehearse/rig.cpp
@@ -100,6 +100,7 @@
   into.fallen = std::move(fleet.fallen);
   into.server_samples = std::move(fleet.server_samples);
   into.tries = std::move(tills.tries);
+  kit::begin_after_requests(into);
 }
 
 }  // namespace
@@ -131,6 +132,7 @@
         });
       });
   processes.record(options.flight);
+  processes.kill_at_earliest(options.kill_at_earliest);
   processes.operate(options.operator_more);
   processes.surround(options.environment);
   std::vector<std::string> addresses;
--- a/src/kit/rehearse/rig.hpp
+++ b/src/kit/rehearse/rig.hpp
@@ -29,9 +29,10 @@
 };
 
 struct RigOptions {
-  std::string router;    ///< the program
-  bool progress = true;  ///< on standard error
-  std::string flight;    ///< a folder for the routers' recordings; empty = none are made
+  std::string router;             ///< the program
+  bool progress = true;           ///< on standard error
+  bool kill_at_earliest = false;  ///< see RouterProcesses
+  std::string flight;             ///< a folder for the routers' recordings; empty = none are made
   /// What each router's operator file has besides the day's; empty = nothing.
   std::function<std::string(int router)> operator_more;
   /// More for its environment, as NAME=VALUE.
--- a/src/kit/rehearse/routers.hpp
+++ b/src/kit/rehearse/routers.hpp
@@ -34,6 +34,9 @@
   void surround(std::function<std::vector<std::string>(int)> more) {
     environment_ = std::move(more);
   }
+  /// Routers that are told to end are killed at the earliest moment that PROTOCOL allows, which is
+  /// no crash: what they owe then is lost. Else one that has not ended after a while has crashed.
+  void kill_at_earliest(bool on) { kill_at_earliest_ = on; }
   /// Does to them now what the day's script may do; takes fault.until - fault.at.
   void act(const RouterFault& fault);
   /// 0 while it doesn't run.
@@ -63,6 +66,7 @@
     std::size_t life = 0;
     bool expected_end = false;
     bool start_again = false;
+    bool cut_off = false;  // killed, as its time to end was over
     Micros kill_at = 0;
   };
   void spawn(int router);
@@ -74,6 +78,7 @@
   void sample();
   bool operated() const { return !day_.routers.operator_text.empty() || !flight_.empty() || more_; }
   void until_ready(int router, Micros since);
+  Micros ends_within() const;
 
   kit::Loop& loop_;
   const Day& day_;
@@ -86,7 +91,7 @@
   std::function<void(int, bool)> changed_;
   std::vector<Process> processes_;
   std::uint64_t starts_ = 0;
-  bool crashed_ = false, ending_ = false;
+  bool crashed_ = false, ending_ = false, kill_at_earliest_ = false;
 };
 
 }  // namespace violetusher::rehearse
--- a/src/kit/soak/run.cpp
+++ b/src/kit/soak/run.cpp
@@ -73,6 +73,8 @@
   std::atomic<int> pid{0};
 };
 
+std::string ms_of(Micros span) { return std::to_string(span / 1000) + " ms"; }
+
 std::uint64_t lines_of(const std::string& path) {
   std::ifstream in(path);
   std::uint64_t count = 0;
@@ -102,10 +104,12 @@
       if (a.router != ban.router || a.first_byte <= ban.answered + grace || a.first_byte >= until)
         continue;
       if (history.servers[static_cast<std::size_t>(a.server)] != ban.server) continue;
+      std::string id = a.request == kit::kNoRequest ? "no request of ours"
+                                                    : standin::request_id(a.request, a.attempt_try);
       result.findings.push_back(
-          {kBansKept, "r" + std::to_string(a.router + 1) + " sent to " + ban.server + " " +
-                          std::to_string((a.first_byte - ban.answered) / 1000) +
-                          " ms after its yes to take it out"});
+          {kBansKept, "at " + ms_of(a.first_byte - history.origin) + ", " + id + ": r" +
+                          std::to_string(a.router + 1) + " sent to " + ban.server + " " +
+                          ms_of(a.first_byte - ban.answered) + " after its yes to take it out"});
     }
   }
 }
@@ -158,6 +162,7 @@
   rehearse::RigOptions options;
   options.router = programs.router;
   options.progress = false;
+  options.kill_at_earliest = true;
   options.environment = [&](int router) {
     return environment_of(*setups[static_cast<std::size_t>(router)], programs, origin);
   };
@@ -192,8 +197,7 @@
   result.served = verdict.served;
   result.router_logs = played.router_logs;
   for (const auto& f : verdict.findings)
-    result.findings.push_back(
-        {f.rule, "at " + std::to_string(f.at / 1000) + " ms, " + f.request + ": " + f.what});
+    result.findings.push_back({f.rule, "at " + ms_of(f.at) + ", " + f.request + ": " + f.what});
   for (const std::string& line : played.violations) result.findings.push_back({"invariant", line});
   if (actors) judge_bans(actors->calls(), played.history, day.expect.drain_grace + 50'000, result);
   for (const auto& setup : setups) result.faults += lines_of(setup->log);
--- /dev/null
+++ b/tests/daemon/ledger/rolled_file_test.cpp
@@ -0,0 +1,70 @@
+// A rolled file whose neighbours on disk can't be read or put back.
+#include "daemon/ledger/rolled_file.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace violetusher::ledger {
+namespace {
+
+namespace fs = std::filesystem;
+
+class RolledFileTest : public ::testing::Test {
+ protected:
+  RolledFileTest() {
+    std::string pattern = ::testing::TempDir() + "/rolled-XXXXXX";
+    folder_ = ::mkdtemp(pattern.data());
+    path_ = folder_ + "/router.conf";
+    std::ofstream(path_) << "own\n";
+  }
+  ~RolledFileTest() override { fs::remove_all(folder_); }
+  static std::string text_of(const std::string& path) {
+    std::ifstream in(path);
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+  std::string folder_, path_;
+};
+
+TEST_F(RolledFileTest, GoesToAnotherTextAndBackToItsOwn) {
+  RolledFile file(path_);
+  EXPECT_EQ(file.label(), "own");
+  ASSERT_EQ(file.stage("rolled\n"), "");
+  ASSERT_TRUE(file.swap());
+  EXPECT_EQ(file.label(), core::ledger::label(std::string("rolled\n")));
+  EXPECT_EQ(text_of(path_ + ".own"), "own\n");
+  ASSERT_EQ(file.stage(std::nullopt), "");
+  ASSERT_TRUE(file.swap());
+  EXPECT_EQ(file.label(), "own");
+}
+
+TEST_F(RolledFileTest, AnOwnTextThatCantBeReadIsNotWrittenOver) {
+  RolledFile file(path_);
+  ASSERT_EQ(file.stage("rolled\n"), "");
+  ASSERT_TRUE(file.swap());
+  fs::rename(path_ + ".own", path_ + ".kept");
+  fs::create_directory(path_ + ".own");  // a read of it fails
+  EXPECT_NE(file.stage("next\n"), "");
+  EXPECT_NE(file.label(), "own");
+  EXPECT_TRUE(fs::is_directory(path_ + ".own"));
+  EXPECT_EQ(text_of(path_), "rolled\n");
+}
+
+TEST_F(RolledFileTest, AnUndoThatFailedIsOwedUntilItIsDone) {
+  RolledFile file(path_);
+  ASSERT_EQ(file.stage("rolled\n"), "");
+  ASSERT_TRUE(file.swap());
+  fs::rename(path_, path_ + ".kept");
+  fs::create_directories(path_ + "/in-the-way");
+  EXPECT_FALSE(file.undo());
+  EXPECT_TRUE(file.undo_owed());
+  fs::remove_all(path_);
+  EXPECT_TRUE(file.undo());
+  EXPECT_FALSE(file.undo_owed());
+  EXPECT_EQ(text_of(path_), "own\n");
+}
+
+}  // namespace
+}  // namespace violetusher::ledger
--- a/tests/kit/common/common_test.cpp
+++ b/tests/kit/common/common_test.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <set>
 
+#include "kit/common/history.hpp"
 #include "kit/common/loop.hpp"
 #include "kit/common/random.hpp"
 #include "kit/common/svg.hpp"
@@ -119,5 +120,17 @@
   EXPECT_EQ(svg.find("nan"), svg.npos);
 }
 
+TEST(History, AnAttemptIsNotBookedBeforeItsRequestWasSent) {
+  History history;
+  history.tries.push_back({.request = 7, .number = 1, .sent = 100});
+  history.attempts.push_back({.request = 7, .attempt_try = 1, .first_byte = 40});
+  history.attempts.push_back({.request = 7, .attempt_try = 1, .first_byte = 140});
+  history.attempts.push_back({.request = 8, .attempt_try = 1, .first_byte = 40});
+  begin_after_requests(history);
+  EXPECT_EQ(history.attempts[0].first_byte, 100);
+  EXPECT_EQ(history.attempts[1].first_byte, 140);
+  EXPECT_EQ(history.attempts[2].first_byte, 40);
+}
+
 }  // namespace
 }  // namespace violetusher::kit
