--- a/src/kit/faults/preload.hpp
+++ b/src/kit/faults/preload.hpp
@@ -13,4 +13,7 @@
 /// it is not set.
 inline constexpr char kOriginVariable[] = "VIOLETUSHER_FAULTS_ORIGIN";
 
+/// A process that is built with AddressSanitizer wants its runtime first; this lets it start.
+inline constexpr char kSanitizerOptions[] = "ASAN_OPTIONS=verify_asan_link_order=0";
+
 }  // namespace violetusher::faults
--- a/src/kit/soak/run.cpp
+++ b/src/kit/soak/run.cpp
@@ -116,7 +116,8 @@
 
 std::vector<std::string> environment_of(const RouterSetup& setup, const Programs& programs,
                                         Micros origin) {
-  return {"NODE_OPERATOR=127.0.0.1:" + std::to_string(setup.operators.number),
+  return {faults::kSanitizerOptions,
+          "NODE_OPERATOR=127.0.0.1:" + std::to_string(setup.operators.number),
           "TMPDIR=" + setup.folder,
           "LD_PRELOAD=" + programs.fault_library,
           std::string(faults::kScriptVariable) + "=" + setup.script,
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -199,9 +199,9 @@
 /// Lets listeners go that are not wanted any more, once what waits there is taken: an accept that
 /// fails for now says nothing of that.
 void ClientSide::drop_retired() {
-  std::erase_if(listeners_, [&](const auto& l) {
-    return l->retiring && (l->shared || accept_some(*l, kBacklog));
-  });
+  // Apart: making room for what is accepted looks at all listeners.
+  for (auto& l : listeners_) l->emptied = l->retiring && (l->shared || accept_some(*l, kBacklog));
+  std::erase_if(listeners_, [](const auto& l) { return l->emptied; });
 }
 
 void ClientSide::touch(ClientConnection& c) {
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -132,6 +132,7 @@
     std::string name, address;  // both empty: the platform's
     bool shared = false;        // others accept from it too
     bool retiring = false;      // goes once all that waits there is taken
+    bool emptied = false;       // which it is
     Socket socket;
     std::unique_ptr<Watch> watch;
   };
--- a/tests/daemon/process_support.hpp
+++ b/tests/daemon/process_support.hpp
@@ -16,6 +16,7 @@
 #include <nlohmann/json.hpp>
 
 #include "../net/net_support.hpp"
+#include "kit/faults/preload.hpp"
 
 namespace violetusher::net::test {
 
@@ -110,6 +111,7 @@
     settings.push_back("NODE_CONFIG=" + folder_.file("config.json"));
     settings.push_back("TMPDIR=" + folder_.path());
     if (options.faults) {
+      settings.push_back(faults::kSanitizerOptions);
       settings.push_back(std::string("LD_PRELOAD=") + VIOLETUSHER_FAULT_LIBRARY);
       settings.push_back("VIOLETUSHER_FAULTS=" + folder_.file("faults"));
       settings.push_back("VIOLETUSHER_FAULTS_LOG=" + folder_.file("faults.log"));
