--- a/review/common/run.sh
+++ b/review/common/run.sh
@@ -12,7 +12,10 @@
 export RUN
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-"$program" "$here" "$folder"
+trap 'kill "$child" 2>/dev/null; wait "$child"; exit 2' INT TERM
+"$program" "$here" "$folder" &
+child=$!
+wait "$child"
 code=$?
 [ -s "$folder/router.log" ] && sed 's/^/router log: /' "$folder/router.log" | tail -n 40 >>"$here/record.txt"
 [ $code -le 2 ] || code=2
--- a/review/common/standin.hpp
+++ b/review/common/standin.hpp
@@ -471,6 +471,7 @@
   Case(int argc, char** argv) {
     if (argc != 3) std::exit(kCannotRun);
     ::signal(SIGPIPE, SIG_IGN);
+    for (int one : {SIGTERM, SIGINT}) ::signal(one, on_interrupt);
     Record::get().open(std::string(argv[1]) + "/record.txt");
     folder = argv[2];
     const char* set = std::getenv("TROUBLE");
@@ -483,6 +484,11 @@
     })
         .detach();
   }
+  /// An interrupted case leaves no router behind.
+  static void on_interrupt(int) {
+    if (Router::running() && !Router::running()->ended) ::kill(Router::running()->pid, SIGKILL);
+    ::_exit(kCannotRun);
+  }
   std::string folder;
   bool trouble = true;
 };
