--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -59,6 +59,7 @@
 }
 
 void ClientConnection::read() {
+  if (value_truncated_ && !lingering_) return;  // closes in flush()
   ssize_t got =
       side_.io_.recv(socket_.number(), side_.read_buffer_.get(), ClientSide::kReadBufferBytes);
   if (got < 0) {
@@ -95,7 +96,7 @@
 
 /// Handles and consumes the commands in `in` until the pipeline is full.
 void ClientConnection::parse(std::string_view& in) {
-  while (!protocol_error_ && !closed_ && !in.empty() && !pipeline_full()) {
+  while (!input_ended() && !closed_ && !in.empty() && !pipeline_full()) {
     Command& command = side_.command_;
     auto got = reader_.take(in, command);
     if (got == CommandReader::Got::Nothing) break;
@@ -118,7 +119,7 @@
         break;
     }
   }
-  if (protocol_error_ || closed_) in = {};
+  if (input_ended() || closed_) in = {};
 }
 
 void ClientConnection::handle_command(Command&& command) {
@@ -183,7 +184,7 @@
   }
   slot.connection = nullptr;
   slot.id = 0;
-  slot.done = slot.backpressured = false;
+  slot.done = slot.backpressured = slot.truncated = false;
   spare.splice(spare.begin(), slots_, slots_.begin());
 }
 
@@ -237,6 +238,10 @@
     out_.erase(0, out_at_);
     out_at_ = 0;
   }
+  if (truncated_value_is_next() && out_.empty()) {
+    close_after_truncated_value();
+    return;
+  }
   // A command that has arrived by now must be served: read before the connection may close.
   if (quiescent() && may_close_for_shutdown() && !eof_ && !lingering_ && !side_.closing_all_)
     read();
@@ -254,6 +259,14 @@
   update_reading();
 }
 
+/// Without a reset, which could discard the responses before the value on their way.
+void ClientConnection::close_after_truncated_value() {
+  std::string().swap(unparsed_);
+  side_.release_slots(*this);
+  start_lingering_close(CloseReason::kValueTruncated);
+  update_buffered();
+}
+
 void ClientConnection::close_timed_out() {
   if (idle())
     close_idle(CloseReason::kIdle);
@@ -304,7 +317,7 @@
 
 void ClientConnection::update_reading() {
   if (closed_ || eof_ || lingering_) return;
-  bool should_read = unparsed_.empty() && !protocol_error_ && !pipeline_full();
+  bool should_read = unparsed_.empty() && !input_ended() && !pipeline_full();
   if (should_read == reading_) return;
   reading_ = should_read;
   watch_->read(should_read);
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -57,7 +57,8 @@
   bool eof_ = false;
   bool peer_ended_ = false;      // the client has closed: commands it sent before are not forwarded
   bool protocol_error_ = false;  // nothing more is read: closes after the pending responses
-  bool over_limit_;              // its commands are rejected and it is closed
+  bool value_truncated_ = false;   // nothing more is read: closes after a value that broke off
+  bool over_limit_;                // its commands are rejected and it is closed
   bool command_received_ = false;  // a whole command has been received
   bool lingering_ = false;
   core::CloseReason close_reason_ = core::CloseReason::kAnswered;  // while lingering
@@ -72,6 +73,10 @@
   bool may_close_for_shutdown() const;
   bool idle() const { return quiescent() && !in_command() && !lingering_ && !stalled_since_; }
   bool pipeline_full() const;
+  /// Further commands of this client are discarded.
+  bool input_ended() const { return protocol_error_ || value_truncated_; }
+  bool truncated_value_is_next() const { return !slots_.empty() && slots_.front().truncated; }
+  void close_after_truncated_value();
   void parse(std::string_view& in);
   void parse_deferred();
   void handle_command(Command&& command);
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -222,9 +222,7 @@
       if (slot.id && !slot.done) unanswered = slot.id;
     invariants_->on_close(reason, unanswered ? 1 : 0, unanswered);
   }
-  for (ResponseSlot& slot : c.slots_)
-    if (slot.id && !slot.done) handler_.on_client_disconnected(slot.id);
-  c.slots_.clear();
+  release_slots(c);
   if (!c.command_received_) --without_command_;
   c.update_buffered();
   c.watch_.reset();
@@ -239,6 +237,13 @@
   if (accept_paused_) pause_accepting(false);
 }
 
+void ClientSide::release_slots(ClientConnection& c) {
+  for (ResponseSlot& slot : c.slots_)
+    if (slot.id && !slot.done) handler_.on_client_disconnected(slot.id);
+  c.slots_.clear();
+  c.slot_bytes_ = 0;
+}
+
 void ClientSide::respond(PendingResponse&& response, const std::string& id, const Reply& reply) {
   ResponseSlot* slot = std::exchange(response.slot_, nullptr);
   if (!slot) return;
@@ -290,7 +295,10 @@
   ResponseSlot* slot = std::exchange(response.slot_, nullptr);
   if (!slot) return;
   slot->id = 0;  // the caller handles the end of the request itself
-  close(*slot->connection, CloseReason::kValueTruncated);
+  slot->backpressured = false;
+  slot->truncated = true;
+  slot->connection->value_truncated_ = true;
+  mark_dirty(*slot->connection);
 }
 
 void ClientSide::respond_raw(ResponseSlot& slot, std::string_view text) {
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -33,6 +33,7 @@
   std::string text;            ///< the response, while earlier ones are incomplete
   bool done = false;           ///< the whole response is in `text` or written
   bool backpressured = false;  ///< its streamed value waits until the client has read more
+  bool truncated = false;      ///< its streamed value ends here, incomplete
 };
 
 /// The right to send the one final response that a client waits for. It can be moved but not
@@ -112,7 +113,9 @@
   bool stream(PendingResponse& response, std::string_view piece);
   /// Ends the response after the whole value.
   void end_stream(PendingResponse&& response);
-  /// Closes the connection, so that the client can tell that the value is incomplete.
+  /// Ends the response within the value. Nothing more is read from the client, and its connection
+  /// closes in flush() once the responses up to here are written, so that the client can tell that
+  /// the value is incomplete. Never calls the handler: the caller may be in the middle of a change.
   void abort_stream(PendingResponse&& response);
 
   /// Writes the buffered responses. Call once per iteration of the loop.
@@ -157,6 +160,9 @@
   void sweep();
   void mark_dirty(ClientConnection& connection);
   void close(ClientConnection& connection, core::CloseReason reason);
+  /// Releases the slots of a connection that closes and notifies the handler of those without a
+  /// response.
+  void release_slots(ClientConnection& connection);
   void respond_raw(ResponseSlot& slot, std::string_view text);
 
   /// Bytes read from one connection at a time, so that a client that sends at full speed gets no
--- /dev/null
+++ b/tests/net/core_fixture.hpp
@@ -0,0 +1,171 @@
+// The request core with both sides on simulated sockets and virtual time, without an event loop.
+#pragma once
+
+#include <cstring>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/request_core.hpp"
+#include "net_support.hpp"
+
+namespace violetusher::net::test {
+
+/// Sockets as byte queues, with the time set by the test.
+class FakeIo final : public Io {
+ public:
+  struct End {
+    std::string in, out;
+    bool ended = false, open = true, dialled = true;
+    Watch::Target* target = nullptr;
+    bool reading = false, writing = false;
+  };
+  struct FakeWatch final : Watch {
+    FakeWatch(FakeIo& io, int socket) : io(io), socket(socket) {}
+    ~FakeWatch() override { io.ends[socket].target = nullptr; }
+    void read(bool on) override { io.ends[socket].reading = on; }
+    void write_once(Micros) override { io.ends[socket].writing = true; }
+    FakeIo& io;
+    int socket;
+  };
+  struct FakeAlarm final : Alarm {
+    void set(Micros) override {}
+    void clear() override {}
+  };
+  struct FakeHttp final : HttpGet {
+    void start(const std::string&, const std::string&, Micros) override {}
+    void stop() override {}
+  };
+
+  Micros now() const override { return time; }
+  void update_time() override {}
+  Socket listen(const sockaddr_in&, std::string&) override { return make(); }
+  Socket adopt(int, std::string&) override { return make(); }
+  std::uint16_t port(int) const override { return 1; }
+  Accepted accept(int, Socket& socket) override {
+    if (waiting_clients == 0) return Accepted::kNone;
+    --waiting_clients;
+    socket = make();
+    accepted.push_back(socket.number());
+    return Accepted::kOne;
+  }
+  CallResult connect(const sockaddr_in&, Socket& socket) override {
+    socket = make();
+    dialled.push_back(socket.number());
+    return CallResult::kDone;
+  }
+  CallResult connected(int socket) override {
+    return ends[socket].dialled ? CallResult::kDone : CallResult::kPermanentError;
+  }
+  ssize_t recv(int socket, char* to, std::size_t size) override {
+    End& e = ends[socket];
+    if (e.in.empty()) return e.ended ? 0 : kAgain;
+    std::size_t count = std::min(size, e.in.size());
+    std::memcpy(to, e.in.data(), count);
+    e.in.erase(0, count);
+    return static_cast<ssize_t>(count);
+  }
+  ssize_t send(int socket, const iovec* parts, std::size_t count) override {
+    ssize_t put = 0;
+    for (std::size_t k = 0; k < count; ++k) {
+      ends[socket].out.append(static_cast<const char*>(parts[k].iov_base), parts[k].iov_len);
+      put += static_cast<ssize_t>(parts[k].iov_len);
+    }
+    return put;
+  }
+  bool may_have_input(int socket) override {
+    return ends[socket].ended || !ends[socket].in.empty();
+  }
+  bool peer_ended(int socket) override { return ends[socket].ended; }
+  void shutdown_send(int) override {}
+  void close(int socket) override { ends[socket].open = false; }
+  std::unique_ptr<Watch> watch(int socket, Watch::Target& target) override {
+    ends[socket].target = &target;
+    return std::make_unique<FakeWatch>(*this, socket);
+  }
+  std::unique_ptr<Alarm> alarm(std::function<void()>) override {
+    return std::make_unique<FakeAlarm>();
+  }
+  std::unique_ptr<HttpGet> http(HttpGet::Done) override { return std::make_unique<FakeHttp>(); }
+  void run_once() override {}
+
+  /// Delivers a readiness event to the socket's owner.
+  void ready(int socket, unsigned what) {
+    if (ends[socket].open && ends[socket].target) ends[socket].target->on_ready(what);
+  }
+  Socket make() { return Socket(*this, next++); }
+
+  Micros time = 1'000'000'000;
+  std::map<int, End> ends;
+  std::vector<int> accepted, dialled;
+  int waiting_clients = 0, next = 1;
+};
+
+/// The core with both sides; the test takes the place of the decision modules.
+struct CoreFixture : PoolSet::Handler {
+  void on_module_start(std::uint32_t) override {}
+  void on_module_list(std::uint32_t, violetusher::ListScope,
+                      std::vector<violetusher::Server>&&) override {}
+
+  explicit CoreFixture(RequestTable::Bounds bounds = {100, 1u << 20})
+      : core({io, config, pools, timers, feed, clients, servers, recorder, metrics, invariants},
+             bounds),
+        clients(io, core, {}),
+        servers(io, core, {.table = {.max_open = 2, .mean_idle = 2, .max_idle_time = 9 * kSecond}},
+                &config.settings.report_fields, recorder),
+        memory(1u << 20),
+        ring({reinterpret_cast<std::byte*>(memory.data()), memory.size()}, "t", 1, io.time) {
+    servers.update_hosts(config.initial_hosts);
+    std::string error;
+    clients.listen({}, error);
+    recorder.attach(&ring);
+    core.on_alert([this](const char* what) { alerts.push_back(what); });
+  }
+  int client() {
+    io.waiting_clients = 1;
+    io.ready(1, Watch::kReadable);
+    return io.accepted.back();
+  }
+  void receive(int socket, const std::string& text) {
+    io.ends[socket].in += text;
+    io.ready(socket, Watch::kReadable);
+  }
+  void flush() {
+    servers.flush();
+    clients.flush();
+  }
+  /// Delivers the queued module events and drops them.
+  void deliver_events() {
+    while (!feed.empty()) {
+      ModuleEvent& event = feed.pop();
+      violetusher::Request request;
+      if (auto* e = std::get_if<RequestEvent>(&event)) core.describe(e->id, request);
+      if (auto* e = std::get_if<OutcomeEvent>(&event)) core.on_event_delivered(e->outcome.id);
+      if (auto* e = std::get_if<DisconnectEvent>(&event)) core.on_event_delivered(e->id);
+      if (auto* e = std::get_if<StreamBeginEvent>(&event)) core.on_event_delivered(e->id);
+    }
+  }
+  void advance(Micros span) {
+    io.time += span;
+    Timers::Task task;
+    while (timers.pop_due(io.time, task)) core.on_timer(task);
+  }
+
+  FakeIo io;
+  Config config = parse_config(config_text({.dials = {"127.0.0.1:9", "127.0.0.1:10"}}));
+  Timers timers;
+  ModuleFeed feed;
+  PoolSet pools{config, *this, 0};
+  core::flight::Recorder recorder;
+  core::ops::Metrics metrics;
+  core::InvariantChecker invariants;
+  RequestCore core;
+  ClientSide clients;
+  ServerSide servers;
+  std::vector<std::uint64_t> memory;
+  core::flight::Ring ring;
+  std::vector<std::string> alerts;
+};
+
+}  // namespace violetusher::net::test
