Long values that begin after their attempt's timeout are not cut off with their connection

Cause: an attempt that timed out on a shared connection stays marked as timed out. If its value then begins and is accepted as the final response, ServerConnection::abandoned() still counts the connection as abandoned: the end of the other attempts on it, or room for a new connection, closed it under the value. Found by reading, while looking for related paths of the crash on cut-off values.

Change: a value whose response has begun ends the mark.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -251,6 +251,7 @@
     streaming_ = true;
     std::string first = std::exchange(unconfirmed_value_, std::string());
     if (e.live) e.live = side_.handler_.on_stream_begin(e.id, e.attempt, head_);
+    e.timed_out = false;  // its client waits for the rest, whatever the attempt took so far
     if (e.live) forward(first);
     // Other attempts on the connection are spared: for them the value is read and dropped.
     if (!e.live && abandoned()) side_.close(*this);
--- a/tests/net/cut_off_test.cpp
+++ b/tests/net/cut_off_test.cpp
@@ -91,6 +91,28 @@
   EXPECT_EQ(w.clients.connections(), 0u);
 }
 
+/// Guards against cutting off a long value whose attempt had timed out before the value began: its
+/// connection counted as abandoned and was closed with the last attempt behind it.
+TEST(CutOffValues, AValueThatBeganAfterItsTimeoutIsPassedOnWhole) {
+  LongValueFixture w;
+  int client = w.client(), other = w.client();
+  w.receive(client, read_command("a"));
+  w.receive(other, read_command("b") + read_command("c"));
+  w.deliver_events();
+  int server = w.dial_for(1, "s-0");
+  w.dial_for(2, "s-0");
+  w.core.send({3, "s-0", 0});  // waits behind "a"
+  w.flush();
+  ASSERT_NE(w.io.ends[server].out.find(" Oc "), std::string::npos);
+  EXPECT_FALSE(w.servers.may_abandon("s-0", 1, 0));  // as "c" still waits there
+  w.begin_value(server, "a");
+  w.core.cancel({3, 0});
+  w.receive(server, std::string(kLongValueBytes - kBegunBytes, 'x') + "\r\n");
+  for (int k = 0; k < 20; ++k) w.io.ready(server, Watch::kReadable);
+  w.flush();
+  EXPECT_GT(w.io.ends[client].out.size(), kLongValueBytes);
+}
+
 /// Guards against callbacks that change what their caller iterates over: over random histories of
 /// long values that are completed, cut off, left and swept, no state stays and nothing crashes.
 TEST(CutOffValues, RandomHistoriesLeaveNoState) {
