Keep the limit on client buffers by admission, not by closing clients with open requests

Cause: commands were taken 32 at a time whatever their answers need, answers that wait for an earlier one were kept without a limit, and ClientSide::enforce_buffer_limit closed the connection with the most bytes. Evidence: seven log lines answered-before-close with reason buffers for seven clients that ended.

Change: core::BufferBudget decides what may be taken on. Pipelined commands wait until the pending answers are expected to fit; values, long values and values being received for which there is no room are refused before they are kept. Commands keep the deadline of when they were read. enforce_buffer_limit is gone. DUMP tells bytes buffered and their peak.

--- a/src/core/flight/record.hpp
+++ b/src/core/flight/record.hpp
@@ -48,7 +48,7 @@
   kLimit,              ///< a limit, or a tenant's share, of the operator file
   kBudget,             ///< a retry budget of the operator file
   kRequestLimit,       ///< the table of open requests is full
-  kMemoryLimit,        ///< the memory of open requests has reached its limit
+  kMemoryLimit,        ///< of open requests, or of the buffers of clients
   kClientBufferLimit,  ///< the client's connection has reached its buffer limit
   kDial,               ///< no connection to the server was established
   kDeadline,           ///< the deadline passed
--- a/src/core/guard/invariants.hpp
+++ b/src/core/guard/invariants.hpp
@@ -33,7 +33,7 @@
   kCommandTimeout,  ///< a command was not received in full in time
   kStalled,         ///< the client read none of its answer
   kEvicted,         ///< evicted to make room for another connection
-  kBufferLimit,     ///< the buffers of all clients reached their limit
+  kBufferLimit,     ///< not used any more; its counter stays in DUMP
   kValueTruncated,  ///< a long value can't be completed
   kStopping,        ///< the router shuts down
   kCount,
--- a/src/core/ops/metrics.cpp
+++ b/src/core/ops/metrics.cpp
@@ -29,6 +29,8 @@
   all["targets"] = now.targets;
   all["targets_disabled"] = now.targets_disabled;
   all["list_age_ms"] = now.list_age_ms;
+  all["client_buffer_bytes"] = now.client_buffer_bytes;
+  all["client_buffer_peak_bytes"] = now.client_buffer_peak_bytes;
   all["reload_success"] = reload_success_;
   all["reload_failure"] = reload_failure_;
   if (now.guard) {
--- a/src/core/ops/metrics.hpp
+++ b/src/core/ops/metrics.hpp
@@ -16,11 +16,13 @@
   enum class Outcome { kSuccess, kOverload, kError };
   /// Values at the moment of a report.
   struct Gauges {
-    std::size_t concurrent = 0;               ///< requests in progress
-    std::size_t targets = 0;                  ///< cache servers on the list
-    std::size_t targets_disabled = 0;         ///< of them, those that the router does not use
-    std::uint64_t dispatches = 0;             ///< attempts written in full
-    std::int64_t list_age_ms = 0;             ///< since discovery last confirmed the list
+    std::size_t concurrent = 0;                ///< requests in progress
+    std::size_t targets = 0;                   ///< cache servers on the list
+    std::size_t targets_disabled = 0;          ///< of them, those that the router does not use
+    std::uint64_t dispatches = 0;              ///< attempts written in full
+    std::int64_t list_age_ms = 0;              ///< since discovery last confirmed the list
+    std::size_t client_buffer_bytes = 0;       ///< buffered for all clients now
+    std::size_t client_buffer_peak_bytes = 0;  ///< the most so far
     const InvariantChecker* guard = nullptr;  ///< counts of invariants and closes; left out if null
   };
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -60,8 +60,9 @@
 
 void ClientConnection::read() {
   if (value_truncated_ && !lingering_) return;  // closes in flush()
-  ssize_t got =
-      side_.io_.recv(socket_.number(), side_.read_buffer_.get(), ClientSide::kReadBufferBytes);
+  std::size_t size =
+      side_.budget_.tight() ? ClientSide::kTightReadBytes : ClientSide::kReadBufferBytes;
+  ssize_t got = side_.io_.recv(socket_.number(), side_.read_buffer_.get(), size);
   if (got < 0) {
     if (got == Io::kBroken) side_.close(*this, CloseReason::kClientClosed);  // reset by the client
     return;
@@ -75,10 +76,12 @@
     on_eof();
     return;
   }
-  if (!in_command()) since_ = side_.io_.now();
+  Micros now = side_.io_.now();
+  if (!in_command()) since_ = now;
+  unparsed_read_at_ = now;
   std::string_view in(side_.read_buffer_.get(), static_cast<std::size_t>(got));
   if (unparsed_.empty()) {
-    parse(in);
+    parse(in, now);
     unparsed_.assign(in);
   } else {
     unparsed_.append(in);
@@ -94,16 +97,24 @@
          buffered_output() >= ClientSide::kOutputHighWatermark;
 }
 
-/// Handles and consumes the commands in `in` until the pipeline is full.
-void ClientConnection::parse(std::string_view& in) {
-  while (!input_ended() && !closed_ && !in.empty() && !pipeline_full()) {
+bool ClientConnection::may_parse() const {
+  if (input_ended() || closed_ || pipeline_full()) return false;
+  return slots_.empty() || side_.budget_.admits_pipelined_command();
+}
+
+/// Handles and consumes the commands in `in`, which was read at `received_at`, until another one
+/// has to wait.
+void ClientConnection::parse(std::string_view& in, Micros received_at) {
+  while (!in.empty() && may_parse()) {
     Command& command = side_.command_;
+    reader_.set_max_kept_value(side_.budget_.admitted_input());
     auto got = reader_.take(in, command);
     if (got == CommandReader::Got::Nothing) break;
     since_ = side_.io_.now();
     switch (got) {
       case CommandReader::Got::Command:
         mark_command_received();
+        command.waited = since_ - received_at;
         handle_command(std::move(command));
         break;
       case CommandReader::Got::Noop:
@@ -128,7 +139,7 @@
     side_.respond(PendingResponse(slot), {}, Reply(Reply::Kind::Failed));
     return;
   }
-  if (over_limit_) {
+  if (over_limit_ || command.value_discarded) {
     side_.handler_.on_rejected(command);
     side_.respond(PendingResponse(slot), {}, Reply(Reply::Kind::Busy));
     return;
@@ -140,7 +151,7 @@
 
 void ClientConnection::parse_deferred() {
   std::string_view in = unparsed_;
-  parse(in);
+  parse(in, unparsed_read_at_);
   if (in.empty())
     std::string().swap(unparsed_);
   else
@@ -170,8 +181,11 @@
   std::list<ResponseSlot>& spare = side_.spare_slots_;
   if (spare.empty()) spare.emplace_back();
   slots_.splice(slots_.end(), spare, spare.begin());
-  slots_.back().connection = this;
-  return slots_.back();
+  ResponseSlot& slot = slots_.back();
+  slot.connection = this;
+  slot.pending = true;
+  side_.budget_.on_command();
+  return slot;
 }
 
 /// Recycles the first slot, which is answered and whose text is empty.
@@ -332,9 +346,15 @@
 }
 
 void ClientConnection::update_buffered() {
-  std::size_t now = closed_ ? 0 : reader_.buffered() + unparsed_.size() + buffered_output();
-  side_.buffered_ += now - counted_bytes_;
-  counted_bytes_ = now;
+  std::size_t output = std::max(buffered_output(), streams_ * ClientSide::kStreamBufferBytes);
+  std::size_t now = closed_ ? 0 : reader_.buffered() + unparsed_.size() + output;
+  side_.budget_.update(counted_bytes_, now);
+}
+
+bool ClientConnection::can_write(const ResponseSlot& slot) const {
+  auto blocking = std::find_if(slots_.begin(), slots_.end(),
+                               [&](const ResponseSlot& one) { return &one == &slot || !one.done; });
+  return !stalled_since_ && blocking != slots_.end() && &*blocking == &slot;
 }
 
 }  // namespace violetusher::net
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -24,8 +24,11 @@
   /// times within a tenth of a second: after that time nothing more may be started for a client
   /// that has closed.
   void poll_for_close();
-  /// Updates the connection's share of ClientSide::buffered_.
+  /// Updates the connection's share of ClientSide::budget_.
   void update_buffered();
+  /// Whether a response in this slot could be written at once: those before it are complete, and
+  /// the client reads.
+  bool can_write(const ResponseSlot& slot) const;
 
   /// No request is open and no response is buffered: closing the connection loses nothing.
   bool quiescent() const { return slots_.empty() && out_.empty(); }
@@ -52,7 +55,8 @@
   CommandReader reader_;
   std::list<ResponseSlot> slots_;
   std::size_t slot_bytes_ = 0;     // response bytes in the slots
-  std::size_t counted_bytes_ = 0;  // counted in ClientSide::buffered_
+  std::size_t counted_bytes_ = 0;  // counted in ClientSide::budget_
+  std::size_t streams_ = 0;        // streamed values that have begun and not ended
   bool reading_ = true;
   bool eof_ = false;
   bool peer_ended_ = false;      // the client has closed: commands it sent before are not forwarded
@@ -77,7 +81,9 @@
   bool input_ended() const { return protocol_error_ || value_truncated_; }
   bool truncated_value_is_next() const { return !slots_.empty() && slots_.front().truncated; }
   void close_after_truncated_value();
-  void parse(std::string_view& in);
+  /// Whether the next command may be parsed now.
+  bool may_parse() const;
+  void parse(std::string_view& in, Micros received_at);
   void parse_deferred();
   void handle_command(Command&& command);
   void mark_command_received();
@@ -89,7 +95,8 @@
   void start_lingering_close(core::CloseReason reason);
   void update_reading();
 
-  std::string unparsed_;  // bytes read that cannot be parsed yet
+  std::string unparsed_;         // bytes read that cannot be parsed yet
+  Micros unparsed_read_at_ = 0;  // when the last of them were read
   std::string out_;
   std::size_t out_at_ = 0;
   std::size_t lingered_bytes_ = 0;  // bytes discarded since our FIN
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -20,6 +20,7 @@
       handler_(handler),
       limits_(limits),
       invariants_(invariants),
+      budget_(limits.buffer_bytes, protocol::kMaxValueBytes),
       sweep_alarm_(io.alarm([this] { sweep(); })),
       read_buffer_(std::make_unique<char[]>(kReadBufferBytes)) {
   sweep_alarm_->set(kSweepInterval);
@@ -170,19 +171,6 @@
   return false;
 }
 
-/// Limits the memory that slow readers and writers of long values can occupy, in whatever way: the
-/// connection with the most buffered bytes is closed first. The cost is borne by clients with large
-/// responses on slow links while many others are slow as well.
-void ClientSide::enforce_buffer_limit() {
-  while (buffered_ > limits_.buffer_bytes) {
-    ClientConnection* largest = nullptr;
-    for (auto& c : connections_)
-      if (!largest || c->counted_bytes_ > largest->counted_bytes_) largest = c.get();
-    if (!largest) return;
-    close(*largest, CloseReason::kBufferLimit);
-  }
-}
-
 void ClientSide::sweep() {
   sweep_alarm_->set(kSweepInterval);
   Micros now = io_.now();
@@ -242,7 +230,10 @@
 void ClientSide::release_slots(ClientConnection& c) {
   for (ResponseSlot& slot : c.slots_)
     if (slot.id && !slot.done) handler_.on_client_disconnected(slot.id);
-  c.slots_.clear();
+  while (!c.slots_.empty()) {
+    end_pending(c.slots_.front());
+    c.slots_.pop_front();
+  }
   c.slot_bytes_ = 0;
 }
 
@@ -251,16 +242,47 @@
   if (!slot) return;
   ClientConnection& c = *slot->connection;
   if (reply.kind == Reply::Kind::Bad) c.protocol_error_ = true;
+  if (reply.kind == Reply::Kind::Value || reply.kind == Reply::Kind::Stored)
+    budget_.on_response_size(reply.value.size());
   protocol::append_reply(slot->text, id, reply);
   c.slot_bytes_ += slot->text.size();
-  slot->done = true;
-  mark_dirty(c);
+  finish(*slot);
+  c.update_buffered();
+}
+
+void ClientSide::finish(ResponseSlot& slot) {
+  slot.done = true;
+  end_pending(slot);
+  mark_dirty(*slot.connection);
+}
+
+void ClientSide::end_pending(ResponseSlot& slot) {
+  if (std::exchange(slot.pending, false)) budget_.on_response_end();
+  if (std::exchange(slot.streaming, false)) --slot.connection->streams_;
+}
+
+bool ClientSide::admits_value(const PendingResponse& response, std::size_t bytes) {
+  if (!response) return true;
+  using Delivery = core::BufferBudget::Delivery;
+  const ResponseSlot& slot = *response.slot_;
+  bool now = slot.connection->can_write(slot);
+  bool admitted = budget_.admits_value(bytes, now ? Delivery::kNow : Delivery::kLater);
+  if (!admitted) budget_.on_response_size(bytes);  // else learnt when it is sent
+  return admitted;
+}
+
+bool ClientSide::admits_stream() {
+  bool admitted = budget_.admits_stream(kStreamBufferBytes);
+  budget_.on_response_size(kStreamBufferBytes);
+  return admitted;
 }
 
 void ClientSide::begin_stream(PendingResponse& response, const std::string& id,
                               std::size_t length) {
   if (!response) return;
   ResponseSlot& slot = *response.slot_;
+  slot.streaming = true;
+  ++slot.connection->streams_;
   protocol::append_value_head(slot.text, id, length);
   slot.connection->slot_bytes_ += slot.text.size();
   mark_dirty(*slot.connection);
@@ -278,7 +300,7 @@
   // gets a smaller buffer, so that the limit on all of them costs none its response.
   bool in_turn = &slot == &c.slots_.front();
   std::size_t buffered = slot.text.size() + (in_turn ? c.unsent() : 0);
-  bool small = !in_turn || buffered_ >= limits_.buffer_bytes / 2;
+  bool small = !in_turn || budget_.tight();
   bool full = buffered >= (small ? kOutputLowWatermark : kOutputHighWatermark);
   slot.backpressured |= full;
   return !full;
@@ -289,8 +311,7 @@
   if (!slot) return;
   slot->text += "\r\n";
   slot->connection->slot_bytes_ += 2;
-  slot->done = true;
-  mark_dirty(*slot->connection);
+  finish(*slot);
 }
 
 void ClientSide::abort_stream(PendingResponse&& response) {
@@ -299,6 +320,7 @@
   slot->id = 0;  // the caller handles the end of the request itself
   slot->backpressured = false;
   slot->truncated = true;
+  end_pending(*slot);
   slot->connection->value_truncated_ = true;
   mark_dirty(*slot->connection);
 }
@@ -306,8 +328,7 @@
 void ClientSide::respond_raw(ResponseSlot& slot, std::string_view text) {
   slot.text = text;
   slot.connection->slot_bytes_ += text.size();
-  slot.done = true;
-  mark_dirty(*slot.connection);
+  finish(slot);
 }
 
 void ClientSide::flush() {
@@ -319,7 +340,6 @@
     if (!c->closed_) c->flush();
   }
   flushing_.clear();
-  enforce_buffer_limit();
   if (closed_.empty()) return;
   std::erase_if(dirty_, [](const ClientConnection* c) { return c->closed_; });
   closed_.clear();
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/guard/invariants.hpp"
+#include "core/limit/buffer_budget.hpp"
 #include "io.hpp"
 #include "protocol/meta.hpp"
 
@@ -34,6 +35,8 @@
   bool done = false;           ///< the whole response is in `text` or written
   bool backpressured = false;  ///< its streamed value waits until the client has read more
   bool truncated = false;      ///< its streamed value ends here, incomplete
+  bool pending = false;        ///< counted as a pending response
+  bool streaming = false;      ///< buffers are set aside for its streamed value
 };
 
 /// The right to send the one final response that a client waits for. It can be moved but not
@@ -105,6 +108,12 @@
   /// number of them at full speed, and a new connection for each slows it down.
   void respond(PendingResponse&& response, const std::string& id, const Reply& reply);
 
+  /// Whether the limit on buffers admits a value of `bytes` as the response; if not, respond
+  /// without it.
+  bool admits_value(const PendingResponse& response, std::size_t bytes);
+  /// The same for a value that is streamed. If not, respond without it.
+  bool admits_stream();
+
   /// Sends the head of a response whose value of `length` bytes follows through stream(). The
   /// holder of `response` must finish it with end_stream() or cut it off with abort_stream().
   void begin_stream(PendingResponse& response, const std::string& id, std::size_t length);
@@ -134,7 +143,9 @@
   void close_all();
   std::size_t connections() const { return connections_.size(); }
   /// Bytes buffered for all connections.
-  std::size_t buffered() const { return buffered_; }
+  std::size_t buffered() const { return budget_.used(); }
+  /// The most bytes that were buffered at a time.
+  std::size_t peak_buffered() const { return budget_.peak(); }
 
  private:
   friend class ClientConnection;
@@ -159,7 +170,6 @@
   bool evict();
   bool evict_without_command();
   bool evict_idle(const std::function<bool(const ClientConnection&)>& may_evict);
-  void enforce_buffer_limit();
   void sweep();
   void mark_dirty(ClientConnection& connection);
   void close(ClientConnection& connection, core::CloseReason reason);
@@ -167,12 +177,21 @@
   /// response.
   void release_slots(ClientConnection& connection);
   void respond_raw(ResponseSlot& slot, std::string_view text);
+  /// The response in the slot is complete.
+  void finish(ResponseSlot& slot);
+  /// The slot no longer waits for a response, whether or not it got one.
+  void end_pending(ResponseSlot& slot);
 
   /// Bytes read from one connection at a time, so that a client that sends at full speed gets no
   /// larger share of the loop than others.
   static constexpr std::size_t kReadBufferBytes = 16u << 10;
+  /// The same while buffers are tight: what cannot be parsed at once is kept.
+  static constexpr std::size_t kTightReadBytes = 2u << 10;
   /// Above the high watermark of unsent output the commands of a slow reader are not read any more.
+  /// A streamed value is paused above the low one if it has to wait or buffers are tight.
   static constexpr std::size_t kOutputHighWatermark = 128u << 10, kOutputLowWatermark = 16u << 10;
+  /// Set aside for each streamed value: what it has when it is paused, and the piece that comes.
+  static constexpr std::size_t kStreamBufferBytes = kOutputLowWatermark + (16u << 10);
   /// Connections accepted per event, so that open ones are served in between.
   static constexpr int kMaxAcceptsPerEvent = 16;
   /// The most connections that the system keeps in the backlog of a listener.
@@ -182,6 +201,7 @@
   Handler& handler_;
   Limits limits_;
   core::InvariantChecker* invariants_;
+  core::BufferBudget budget_;
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::unique_ptr<Alarm> sweep_alarm_;
   bool accept_paused_ = false;
@@ -190,7 +210,6 @@
   std::vector<std::unique_ptr<ClientConnection>> closed_;  // freed at the end of an iteration
   std::vector<ClientConnection*> dirty_, flushing_;
   std::size_t without_command_ = 0;  // connections without one whole command so far
-  std::size_t buffered_ = 0;         // bytes buffered for all connections
   std::unique_ptr<char[]> read_buffer_;
   Command command_;                      // the one being read
   std::list<ResponseSlot> spare_slots_;  // reused for later responses
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -60,7 +60,10 @@
 
   // No client waits longer than the deadline of the class, so no request is held longer than that.
   Micros now = deps_.io.now();
-  Micros wait = std::min(static_cast<Micros>(command.wait_ms * 1000), type->deadline);
+  Micros wait =
+      std::min(static_cast<Micros>(command.wait_ms * 1000), type->deadline) - command.waited;
+  if (command.waited > 0 && wait <= 0)  // for others of its connection
+    return reject(id, std::move(response), command, kBusyReply, Reason::kDeadline);
   if (command.work && *command.work > type->deadline)
     command.work.reset();  // not a plausible estimate
 
@@ -188,6 +191,29 @@
   }
 }
 
+/// Passes on what a server has answered. A value that the buffers of clients have no room for is
+/// dropped here: nothing that was taken before is.
+void RequestCore::respond_with(OpenRequest& open, const Answer& answer) {
+  bool value = answer.kind == Answer::Kind::Value;
+  if (value && !deps_.clients.admits_value(open.response, answer.value.size())) {
+    respond(open, reply_without_room(open), Reason::kMemoryLimit);
+    return;
+  }
+  Reply reply;
+  reply.kind = value ? Reply::Kind::Value : Reply::Kind::Stored;
+  reply.value = answer.value;
+  reply.receipt = answer.receipt;
+  respond(open, reply, Reason::kNone);
+}
+
+/// The request has run: the client is told to try again only where that is harmless.
+const Reply& RequestCore::reply_without_room(const OpenRequest& open) const {
+  for (const auto& one : deps_.config.settings.classes)
+    if (one.name == open.command.type && one.effect == violetusher::Effect::Repeatable)
+      return kBusyReply;
+  return kFailedReply;
+}
+
 void RequestCore::fail_all() {
   table_.each([this](OpenRequest& open) {
     if (open.answered()) return;
@@ -203,13 +229,7 @@
   if (!open) return;
   if (open->streaming_attempt == attempt) end_stream(*open, status == Status::Ok);
   if (status == Status::Miss && !deps_.config.settings.cache_aside) status = Status::Error;
-  if (status == Status::Ok && !open->answered()) {
-    Reply reply;
-    reply.kind = answer.kind == Answer::Kind::Value ? Reply::Kind::Value : Reply::Kind::Stored;
-    reply.value = answer.value;
-    reply.receipt = answer.receipt;
-    respond(*open, reply, Reason::kNone);
-  }
+  if (status == Status::Ok && !open->answered()) respond_with(*open, answer);
   if (open->attempt(attempt).in_flight) report_outcome(*open, attempt, status, &answer);
   release_if_done(*open);
 }
@@ -237,6 +257,11 @@
 bool RequestCore::on_stream_begin(RequestId id, int attempt, const Answer& head) {
   OpenRequest* open = table_.find(id);
   if (!open || open->answered()) return false;
+  if (!deps_.clients.admits_stream()) {
+    respond(*open, reply_without_room(*open), Reason::kMemoryLimit);
+    report_outcome(*open, attempt, Status::Cancelled, nullptr);
+    return false;
+  }
   Micros now = deps_.io.now();
   record_event(Kind::kAnswered, id, attempt, static_cast<std::uint32_t>(head.length));
   record_final_response(*open, Reply::Kind::Value);
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -97,6 +97,8 @@
   void count_outcome(const std::string& type, Reply::Kind kind);
   void record_final_response(OpenRequest& open, Reply::Kind kind);
   void respond(OpenRequest& open, const Reply& reply, Reason why);
+  void respond_with(OpenRequest& open, const Answer& answer);
+  const Reply& reply_without_room(const OpenRequest& open) const;
   bool within_retry_budget(OpenRequest& open);
   void end_stream(OpenRequest& open, bool whole);
   void report_outcome(OpenRequest& open, int attempt, Status status, Answer* answer);
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -273,6 +273,8 @@
   now.dispatches = servers_.written();
   now.targets = operations_.hosts().size();
   now.list_age_ms = discovery_.age() / kMillisecond;
+  now.client_buffer_bytes = clients_.buffered();
+  now.client_buffer_peak_bytes = clients_.peak_buffered();
   const violetusher::Balancer& whole = *pools_.find(PoolSet::kWholeList)->balancer;
   operations_.hosts().each([&](const Host& host) {
     now.targets_disabled += host.server.health != violetusher::Health::Ready ||
--- a/src/protocol/command.hpp
+++ b/src/protocol/command.hpp
@@ -26,9 +26,12 @@
   bool set = false;  ///< a write; else a read
   std::string id;    ///< chosen by the client, at most kMaxOpaqueBytes; echoed in the answer
   std::string key, type, tenant;
-  std::string idempotency;           ///< idempotency key of a write; empty = none
-  std::string value;                 ///< of a set
-  double wait_ms = 0;                ///< the client's timeout for this attempt
+  std::string idempotency;       ///< idempotency key of a write; empty = none
+  std::string value;             ///< of a set
+  bool value_discarded = false;  ///< it was not kept: the command can't be forwarded
+  double wait_ms = 0;            ///< the client's timeout for this attempt
+  /// How long ago it was received: commands of one connection may wait for others of it.
+  violetusher::Micros waited = 0;
   std::optional<std::int64_t> work;  ///< client's estimate, microseconds on a standard core
   bool repeat = false;
   std::string listener;  ///< that accepted the connection; empty = the platform's
@@ -44,11 +47,12 @@
 };
 
 inline void Command::clear() {
-  set = repeat = false;
+  set = repeat = value_discarded = false;
   for (std::string* text :
        {&id, &key, &type, &tenant, &idempotency, &value, &listener, &head, &tail})
     text->clear();
   wait_ms = 0;
+  waited = 0;
   work.reset();
   protocol = WireProtocol::Meta;
 }
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -59,6 +59,8 @@
   remaining -= size;
 }
 
+constexpr std::size_t kLineEndBytes = 2;
+
 /// Removes the line end that must follow a value; false if there is none.
 bool strip_line_end(std::string& value) {
   if (value.size() < 2 || value[value.size() - 2] != '\r' || value.back() != '\n') return false;
@@ -192,6 +194,7 @@
   if (!command.set) return Got::Command;
   state_ = State::Value;
   pending_ = std::move(command);
+  pending_.value_discarded = value_remaining_ > max_kept_value_ + kLineEndBytes;
   return Got::Nothing;
 }
 
@@ -207,6 +210,8 @@
       if (got != Got::Nothing) return got;
     } else {
       read_bytes(in, pending_.value, value_remaining_);
+      if (pending_.value_discarded && pending_.value.size() > kLineEndBytes)
+        pending_.value.erase(0, pending_.value.size() - kLineEndBytes);
       if (value_remaining_ > 0) return Got::Nothing;
       state_ = State::Line;
       command = std::move(pending_);
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -37,10 +37,16 @@
     Bad,      ///< an invalid command; the start of the next one may be unknown
   };
   Got take(std::string_view& in, Command& command);
+  /// Values over `bytes` that begin from now on are discarded as they come; see
+  /// Command::value_discarded.
+  void set_max_kept_value(std::size_t bytes) { max_kept_value_ = bytes; }
   /// True while a command is incomplete.
   bool in_command() const { return !partial_.empty() || state_ != State::Line; }
-  /// Bytes buffered for an incomplete command.
-  std::size_t buffered() const { return partial_.size() + pending_.value.size(); }
+  /// Bytes buffered for an incomplete command, with room for the rest of its value.
+  std::size_t buffered() const {
+    bool keeps_value = state_ == State::Value && !pending_.value_discarded;
+    return partial_.size() + pending_.value.size() + (keeps_value ? value_remaining_ : 0);
+  }
 
  private:
   enum class State { Line, Value };
@@ -50,6 +56,7 @@
   std::string partial_;
   Command pending_;
   std::size_t value_remaining_ = 0;
+  std::size_t max_kept_value_ = kMaxValueBytes;
 };
 
 /// Parses the answers on one connection.
--- a/tests/net/core_fixture.hpp
+++ b/tests/net/core_fixture.hpp
@@ -21,6 +21,7 @@
     std::string in, out;
     std::string endless_input;  ///< received again and again once `in` is empty
     int reads = 0;
+    bool blocked = false;  ///< takes no output
     bool ended = false, open = true, dialled = true;
     Watch::Target* target = nullptr;
     bool reading = false, writing = false;
@@ -73,6 +74,7 @@
     return static_cast<ssize_t>(count);
   }
   ssize_t send(int socket, const iovec* parts, std::size_t count) override {
+    if (ends[socket].blocked) return kAgain;
     ssize_t put = 0;
     for (std::size_t k = 0; k < count; ++k) {
       ends[socket].out.append(static_cast<const char*>(parts[k].iov_base), parts[k].iov_len);
@@ -115,11 +117,13 @@
   void on_module_list(std::uint32_t, violetusher::ListScope,
                       std::vector<violetusher::Server>&&) override {}
 
-  explicit CoreFixture(RequestTable::Bounds bounds = {100, 1u << 20})
+  explicit CoreFixture(RequestTable::Bounds bounds = {100, 1u << 20},
+                       ClientSide::Limits client_limits = {}, std::size_t max_open = 2)
       : core({io, config, pools, timers, feed, clients, servers, recorder, metrics, invariants},
              bounds),
-        clients(io, core, {}),
-        servers(io, core, {.table = {.max_open = 2, .mean_idle = 2, .max_idle_time = 9 * kSecond}},
+        clients(io, core, client_limits, &invariants),
+        servers(io, core,
+                {.table = {.max_open = max_open, .mean_idle = 2, .max_idle_time = 9 * kSecond}},
                 &config.settings.report_fields, recorder),
         memory(1u << 20),
         ring({reinterpret_cast<std::byte*>(memory.data()), memory.size()}, "t", 1, io.time) {
