Evictions spare new connections and read once more before they close a half command

Cause: idle connections went before half commands whatever their age, so the newest connection was the first to go; half commands were closed without a last read; and a client for which an idle one was closed counted as over the limit, as the closed one still lingered.

Change: connections between two commands go first, then those whose command has been awaited longest, each after a last read and none within 0.1 s; until then new connections wait in the backlog. Lingering connections use the spare ones.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -283,18 +283,20 @@
 
 void ClientConnection::close_timed_out() {
   if (idle())
-    close_idle(CloseReason::kIdle);
+    close_quiet(CloseReason::kIdle);
   else
     side_.close(*this, lingering_       ? close_reason_
                        : stalled_since_ ? CloseReason::kStalled
                                         : CloseReason::kCommandTimeout);
 }
 
-bool ClientConnection::close_idle(CloseReason reason) {
+bool ClientConnection::close_quiet(CloseReason reason) {
+  bool was_in_command = in_command();
   read();
   if (closed_) return true;
+  if (!quiescent() || in_command() != was_in_command) return false;
   // A read that failed for a transient error does not show whether input has arrived.
-  if (!idle() || side_.io_.may_have_input(socket_.number())) return false;
+  if (side_.io_.may_have_input(socket_.number())) return false;
   start_lingering_close(reason);
   return true;
 }
@@ -323,6 +325,7 @@
     return;
   }
   lingering_ = true;
+  ++side_.lingering_;
   close_reason_ = reason;
   since_ = side_.io_.now();
   side_.io_.shutdown_send(socket_.number());
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -39,9 +39,12 @@
   /// Closes it for that. Input that has just arrived on an idle connection is read first, and no
   /// reset discards a response that the client has not read yet.
   void close_timed_out();
-  /// Closes an idle connection after reading what has just arrived. Returns false if that was a
-  /// request, so that the connection is not idle any more.
-  bool close_idle(core::CloseReason reason);
+  /// Since when there has been no request: when the current command began, or the last response was
+  /// written. Only of a quiescent connection.
+  Micros quiet_since() const { return in_command() ? since_ : last_active_at_; }
+  /// Closes a quiescent connection after reading what has just arrived. Returns false if a request
+  /// has, or a command has begun, or more is to be read.
+  bool close_quiet(core::CloseReason reason);
   /// Reads and discards what has arrived, so that the close does not reset the connection.
   void discard_input();
   /// Bytes of the output that are not written yet.
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr Micros kSweepInterval = kSecond / 20;
+// A connection is not evicted within this time of its accept or of the first byte of a command:
+// what it has sent may be on its way. New connections wait in the backlog meanwhile.
+constexpr Micros kEvictionGrace = kSecond / 10;
 
 }  // namespace
 
@@ -98,8 +101,9 @@
     // Connections that have sent no command get a third of the limit, so that a crowd of them
     // evicts only its own kind and not clients with requests.
     if (without_command_ >= limits_.connections / 3) evict_without_command();
-    if (connections_.size() >= limits_.connections && !evict() &&
-        connections_.size() >= limits_.connections + limits_.spare_connections) {
+    bool wait = active() >= limits_.connections && !evict() && has_evictable_soon();
+    bool full = connections_.size() >= limits_.connections + limits_.spare_connections;
+    if (wait || (full && !close_lingering())) {
       pause_accepting(true);
       return false;
     }
@@ -108,7 +112,7 @@
       case Io::Accepted::kNone:
         return true;
       case Io::Accepted::kNoDescriptor:
-        if (!evict()) pause_accepting(true);
+        if (!close_lingering() && !evict()) pause_accepting(true);
         return false;
       case Io::Accepted::kTransientError:
         if (core::mutant(core::Mutant::kEvictAtAnyShortage)) evict();
@@ -120,7 +124,7 @@
         break;
     }
     if (listener.draining) --listener.backlog_left;
-    bool over = connections_.size() >= limits_.connections;
+    bool over = active() >= limits_.connections;
     connections_.push_back(std::make_unique<ClientConnection>(*this, std::move(socket), over));
     connections_.back()->index_ = connections_.size() - 1;
     connections_.back()->listener_ = listener.name;
@@ -129,48 +133,62 @@
   return false;
 }
 
-/// Makes room for a connection: closes one that only waits for the client's FIN, else the one that
-/// has been idle longest, else the one that has been in the middle of a command longest. Returns
-/// false if every connection has a request open.
+/// Makes room for a connection: closes the one that has been idle longest between two commands,
+/// else the one whose first or next command has been awaited longest. Returns false if there is
+/// none, as all have a request open or have only just connected or begun a command.
 bool ClientSide::evict() {
-  ClientConnection* oldest = nullptr;
-  for (auto& c : connections_)
-    if (c->lingering_ && (!oldest || c->since_ < oldest->since_)) oldest = c.get();
-  if (oldest) {
-    oldest->discard_input();
-    close(*oldest, CloseReason::kEvicted);
-    return true;
-  }
-  if (evict_idle([](const ClientConnection&) { return true; })) return true;
-  for (auto& c : connections_)
-    if (c->quiescent() && c->in_command() && (!oldest || c->since_ < oldest->since_))
-      oldest = c.get();
-  if (oldest) close(*oldest, CloseReason::kEvicted);
-  return oldest != nullptr;
+  auto between_commands = [](const ClientConnection& c) {
+    return c.command_received_ && !c.in_command();
+  };
+  return evict_quiet(between_commands) ||
+         evict_quiet([this](const ClientConnection& c) { return !in_grace(c); });
 }
 
 bool ClientSide::evict_without_command() {
-  return evict_idle([](const ClientConnection& c) { return !c.command_received_; });
+  return evict_quiet(
+      [this](const ClientConnection& c) { return !c.command_received_ && !in_grace(c); });
+}
+
+bool ClientSide::in_grace(const ClientConnection& c) const {
+  return io_.now() - c.quiet_since() < kEvictionGrace;
 }
 
-/// Closes the longest idle connection that `may_evict` accepts. The close is graceful: a request
-/// that arrives on it at this moment is served, and another connection is closed instead. Returns
-/// false if there is none.
-bool ClientSide::evict_idle(const std::function<bool(const ClientConnection&)>& may_evict) {
-  std::vector<ClientConnection*> idle;
+bool ClientSide::has_evictable_soon() const {
+  return std::any_of(connections_.begin(), connections_.end(), [this](const auto& c) {
+    return c->quiescent() && !c->lingering_ && in_grace(*c);
+  });
+}
+
+/// Closes the connection that `may_evict` accepts and that has been without a request longest. The
+/// close is graceful: a request that arrives on it at this moment is served, and another connection
+/// is closed instead. Returns false if there is none.
+bool ClientSide::evict_quiet(const std::function<bool(const ClientConnection&)>& may_evict) {
+  std::vector<ClientConnection*> quiet;
   for (auto& c : connections_)
-    if (c->quiescent() && !c->lingering_ && may_evict(*c)) idle.push_back(c.get());
-  std::sort(idle.begin(), idle.end(),
-            [](const auto* a, const auto* b) { return a->last_active_at_ < b->last_active_at_; });
-  if (core::mutant(core::Mutant::kEvictAtAnyShortage) && !idle.empty()) {
-    close(*idle.front(), CloseReason::kEvicted);
+    if (c->quiescent() && !c->lingering_ && may_evict(*c)) quiet.push_back(c.get());
+  std::sort(quiet.begin(), quiet.end(),
+            [](const auto* a, const auto* b) { return a->quiet_since() < b->quiet_since(); });
+  if (core::mutant(core::Mutant::kEvictAtAnyShortage) && !quiet.empty()) {
+    close(*quiet.front(), CloseReason::kEvicted);
     return true;
   }
-  for (ClientConnection* c : idle)
-    if (c->close_idle(CloseReason::kEvicted)) return true;
+  for (ClientConnection* c : quiet)
+    if (c->close_quiet(CloseReason::kEvicted)) return true;
   return false;
 }
 
+/// Closes the connection that has waited longest for the client's FIN; returns false if there is
+/// none.
+bool ClientSide::close_lingering() {
+  ClientConnection* oldest = nullptr;
+  for (auto& c : connections_)
+    if (c->lingering_ && (!oldest || c->since_ < oldest->since_)) oldest = c.get();
+  if (!oldest) return false;
+  oldest->discard_input();
+  close(*oldest, CloseReason::kEvicted);
+  return true;
+}
+
 void ClientSide::sweep() {
   sweep_alarm_->set(kSweepInterval);
   Micros now = io_.now();
@@ -206,6 +224,7 @@
 void ClientSide::close(ClientConnection& c, CloseReason reason) {
   if (c.closed_) return;
   c.closed_ = true;
+  if (c.lingering_) --lingering_;
   if (invariants_) {
     RequestId unanswered = 0;
     for (const ResponseSlot& slot : c.slots_)
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -169,7 +169,14 @@
   void close_drained_listeners();
   bool evict();
   bool evict_without_command();
-  bool evict_idle(const std::function<bool(const ClientConnection&)>& may_evict);
+  bool evict_quiet(const std::function<bool(const ClientConnection&)>& may_evict);
+  bool close_lingering();
+  /// Whether the connection is too new to be evicted.
+  bool in_grace(const ClientConnection& connection) const;
+  /// Whether a connection has no request and is kept only for its grace.
+  bool has_evictable_soon() const;
+  /// Connections but for those that only wait for the client's FIN.
+  std::size_t active() const { return connections_.size() - lingering_; }
   void sweep();
   void mark_dirty(ClientConnection& connection);
   void close(ClientConnection& connection, core::CloseReason reason);
@@ -210,6 +217,7 @@
   std::vector<std::unique_ptr<ClientConnection>> closed_;  // freed at the end of an iteration
   std::vector<ClientConnection*> dirty_, flushing_;
   std::size_t without_command_ = 0;  // connections without one whole command so far
+  std::size_t lingering_ = 0;        // connections that only wait for the client's FIN
   std::unique_ptr<char[]> read_buffer_;
   Command command_;                      // the one being read
   std::list<ResponseSlot> spare_slots_;  // reused for later responses
--- a/tests/net/core_fixture.hpp
+++ b/tests/net/core_fixture.hpp
@@ -21,6 +21,7 @@
     std::string in, out;
     std::string endless_input;  ///< received again and again once `in` is empty
     int reads = 0;
+    bool shut = false;     ///< the router has shut down its sending side
     bool blocked = false;  ///< takes no output
     bool ended = false, open = true, dialled = true;
     Watch::Target* target = nullptr;
@@ -87,7 +88,7 @@
     return e.ended || !e.in.empty() || !e.endless_input.empty();
   }
   bool peer_ended(int socket) override { return ends[socket].ended; }
-  void shutdown_send(int) override {}
+  void shutdown_send(int socket) override { ends[socket].shut = true; }
   void close(int socket) override { ends[socket].open = false; }
   std::unique_ptr<Watch> watch(int socket, Watch::Target& target) override {
     ends[socket].target = &target;
@@ -138,6 +139,8 @@
     io.ready(1, Watch::kReadable);
     return io.accepted.back();
   }
+  /// Whether the router has ended its side of the connection.
+  bool ended(int socket) { return !io.ends[socket].open || io.ends[socket].shut; }
   void receive(int socket, const std::string& text) {
     io.ends[socket].in += text;
     io.ready(socket, Watch::kReadable);
