Log and count why connections to cache servers are closed

Each close of a connection to a server has one reason now (core::ServerCloseReason), counted in DUMP as server_closes. An attempt that ends without an answer while its request waits is logged as attempt-interrupted, with request, attempt, server, reason, age, bytes written and received; at most 20 lines in 10 s, as for every event. Nothing is decided by it.

--- a/src/core/ops/metrics.cpp
+++ b/src/core/ops/metrics.cpp
@@ -42,6 +42,13 @@
     by_name("violations", now.guard->violations(), Invariant::kSentToAvailableServer);
     by_name("closes", now.guard->closes(), CloseReason::kClientClosed);
   }
+  if (now.server_closes) {
+    auto& to = all["server_closes"] = nlohmann::ordered_json::object();
+    for (int k = 0; k < static_cast<int>(ServerCloseReason::kCount); ++k) {
+      auto reason = static_cast<ServerCloseReason>(k);
+      to[name_of(reason)] = now.server_closes->of(reason);
+    }
+  }
   return all.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
 }
 
--- a/src/core/ops/metrics.hpp
+++ b/src/core/ops/metrics.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "core/guard/invariants.hpp"
+#include "core/guard/server_closes.hpp"
 
 namespace violetusher::core::ops {
 
@@ -24,6 +25,7 @@
     std::size_t client_buffer_bytes = 0;       ///< buffered for all clients now
     std::size_t client_buffer_peak_bytes = 0;  ///< the most so far
     const InvariantChecker* guard = nullptr;  ///< counts of invariants and closes; left out if null
+    const ServerCloseCounts* server_closes = nullptr;  ///< left out if null
   };
 
   /// Reports a class from now on, with zeros before its first request. Classes that settings drop
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -295,6 +295,30 @@
                          open->streaming_attempt);
 }
 
+/// Logs what was given up under a request that still waits for its answer. Told for each attempt,
+/// not for each connection: attempts may share one.
+void RequestCore::on_attempt_interrupted(const core::InterruptedAttempt& interrupted) {
+  OpenRequest* open = table_.find(interrupted.request);
+  if (!open || (open->answered() && !open->stream)) return;
+  std::string_view reason = core::name_of(interrupted.reason);
+  std::int64_t age_ms = interrupted.age / kMillisecond;
+  auto answer_bytes = static_cast<std::int64_t>(interrupted.answer_bytes);
+  auto request_bytes = static_cast<std::int64_t>(interrupted.request_bytes);
+  std::string text = "attempt " + std::to_string(interrupted.attempt) + " of request " +
+                     open->command.id + " at " + std::string(interrupted.server) +
+                     " interrupted: " + std::string(reason) + " after " + std::to_string(age_ms) +
+                     " ms, " + std::to_string(request_bytes) + " bytes written, " +
+                     std::to_string(answer_bytes) + " bytes of the answer received";
+  deps_.log.write(deps_.io.now(), Log::Level::kWarn, "attempt-interrupted", text,
+                  {{"request", std::string_view(open->command.id)},
+                   {"attempt", std::int64_t{interrupted.attempt}},
+                   {"server", interrupted.server},
+                   {"reason", reason},
+                   {"age_ms", age_ms},
+                   {"request_bytes", request_bytes},
+                   {"answer_bytes", answer_bytes}});
+}
+
 /// Handles the timeout of an attempt or the deadline of the request.
 void RequestCore::on_timer(const Timers::Task& task) {
   OpenRequest* open = table_.find(task.token);
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -8,6 +8,7 @@
 #include "client_side.hpp"
 #include "core/flight/ring.hpp"
 #include "core/ops/metrics.hpp"
+#include "log.hpp"
 #include "module_feed.hpp"
 #include "pool_set.hpp"
 #include "request_table.hpp"
@@ -33,6 +34,7 @@
     core::flight::Recorder& recorder;
     core::ops::Metrics& metrics;
     core::InvariantChecker& invariants;
+    Log& log;
   };
   RequestCore(const Dependencies& dependencies, RequestTable::Bounds bounds);
 
@@ -89,6 +91,7 @@
                           Micros sent_deadline) override;
   bool on_stream_begin(RequestId id, int attempt, const Answer& head) override;
   bool on_stream_data(RequestId id, int attempt, std::string_view piece) override;
+  void on_attempt_interrupted(const core::InterruptedAttempt& interrupted) override;
 
  private:
   using Reason = core::flight::Reason;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -85,7 +85,7 @@
       log_(log),
       pools_(config_, *this, io.now()),
       core_({io, config_, pools_, timers_, feed_, clients_, servers_, recorder_, metrics_,
-             invariants_},
+             invariants_, log},
             table_bounds(config)),
       clients_(io, core_, client_limits(config), &invariants_),
       servers_(io, core_, server_limits(config), &config_.settings.report_fields, recorder_),
@@ -269,6 +269,7 @@
 core::ops::Metrics::Gauges Router::current_figures() {
   core::ops::Metrics::Gauges now;
   now.guard = &invariants_;
+  now.server_closes = &servers_.closes();
   now.concurrent = core_.unanswered();
   now.dispatches = servers_.written();
   now.targets = operations_.hosts().size();
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -6,6 +6,7 @@
 
 using core::flight::Kind;
 using core::flight::Reason;
+using CloseReason = core::ServerCloseReason;
 
 namespace {
 
@@ -157,7 +158,7 @@
       return;
     }
     if (sent < 0) {
-      side_.close(*this);
+      side_.close(*this, CloseReason::kWriteFailed);
       return;
     }
     partial_ += static_cast<std::size_t>(sent);
@@ -192,10 +193,11 @@
   if (got == Io::kAgain) return;
   if (got <= 0) {
     closed_by_peer_ = true;
-    side_.close(*this);
+    side_.close(*this, CloseReason::kClosedByServer);
     return;
   }
   last_read_at_ = last_active_at_ = side_.io_.now();
+  answer_bytes_ += static_cast<std::size_t>(got);
   std::string_view in(side_.read_buffer_.get(), static_cast<std::size_t>(got));
   Answer& answer = side_.answer_;
   while (!closed_) {
@@ -207,7 +209,7 @@
     bool head = what == AnswerReader::Got::Begin || what == AnswerReader::Got::Answer;
     if (what == AnswerReader::Got::Broken || sent_ == 0 ||
         (head && !matches(entries_.front(), answer))) {
-      side_.close(*this);
+      side_.close(*this, sent_ == 0 ? CloseReason::kUnsolicitedBytes : CloseReason::kProtocolError);
       return;
     }
     if (what == AnswerReader::Got::Begin) {
@@ -220,6 +222,7 @@
     }
     has_answered_ = true;
     streaming_ = false;
+    answer_bytes_ = in.size();
     bool last = answer.close_after;
     const QueuedAttempt& done = entries_.front();
     RequestId id = done.id;
@@ -230,13 +233,15 @@
     if (live) side_.handler_.on_attempt_end(id, attempt, status_of(answer), std::move(answer));
     clear_text(answer.value, kMaxKeptValueBytes);
     if (last) {
-      side_.close(*this);
+      side_.close(*this, CloseReason::kErrorAnswer);
       return;
     }
   }
   // The same holds for the beginning of an unsolicited answer.
-  if ((sent_ == 0 && reader_.in_answer()) || (entries_.empty() && draining_))
-    side_.close(*this);
+  if (sent_ == 0 && reader_.in_answer())
+    side_.close(*this, CloseReason::kUnsolicitedBytes);
+  else if (entries_.empty() && draining_)
+    side_.close(*this, CloseReason::kDrained);
   else
     side_.reassign_deferred(pool_);
 }
@@ -254,7 +259,7 @@
     e.timed_out = false;  // its client waits for the rest, whatever the attempt took so far
     if (e.live) forward(first);
     // Other attempts on the connection are spared: for them the value is read and dropped.
-    if (!e.live && abandoned()) side_.close(*this);
+    if (!e.live && abandoned()) side_.close(*this, CloseReason::kAbandoned);
   } else if (e.live) {
     forward(piece);
   }
@@ -291,7 +296,7 @@
   e.type = side_.activity_recorder_ ? side_.activity_recorder_->type_of(command.type) : 0;
   e.answer_id = command.id;
   e.bytes.clear();
-  e.since = last_active_at_ = side_.io_.now();
+  e.queued_at = e.since = last_active_at_ = side_.io_.now();
   e.deadline = deadline;
   e.send_before = send_before;
   protocol::append_command(e.bytes, command, left_ms(deadline, e.since));
@@ -319,14 +324,28 @@
   }
 }
 
-bool ServerConnection::timed_out(Micros now) const {
-  if (entries_.empty()) return false;
+std::optional<CloseReason> ServerConnection::timed_out(Micros now) const {
+  if (entries_.empty()) return std::nullopt;
   const QueuedAttempt& head = entries_.front();
-  bool silent = !head.live && now - std::max(head.since, last_active_at_) > kAbandonedAnswerTimeout;
-  bool incomplete =
-      reader_.in_answer() && !paused_ &&
-      now - last_read_at_ > (streaming_ ? kStreamedValueTimeout : kPartialAnswerTimeout);
-  return silent || incomplete;
+  if (!head.live && now - std::max(head.since, last_active_at_) > kAbandonedAnswerTimeout)
+    return CloseReason::kSilent;
+  if (reader_.in_answer() && !paused_ &&
+      now - last_read_at_ > (streaming_ ? kStreamedValueTimeout : kPartialAnswerTimeout))
+    return CloseReason::kNoProgress;
+  return std::nullopt;
+}
+
+void ServerConnection::report_interruption(std::size_t index, CloseReason reason) const {
+  const QueuedAttempt& e = entries_[index];
+  core::InterruptedAttempt interrupted;
+  interrupted.request = e.id;
+  interrupted.attempt = e.attempt;
+  interrupted.server = pool_.id;
+  interrupted.reason = reason;
+  interrupted.answer_bytes = index == 0 ? answer_bytes_ : 0;
+  interrupted.request_bytes = index < sent_ ? e.size : index == sent_ ? partial_ : 0;
+  interrupted.age = side_.io_.now() - e.queued_at;
+  side_.handler_.on_attempt_interrupted(interrupted);
 }
 
 }  // namespace violetusher::net
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -38,9 +38,10 @@
                 time_left_end = 0;  // position of the time left in `bytes`
     Micros deadline = 0;            // end of the time left
     Micros send_before = 0;         // it may not be started at this time or later
-    Micros since = 0;               // when queued, later when abandoned
-    std::uint32_t type = 0;         // its class, as numbered by the activity recorder
-    bool started = false;           // its first byte is written
+    Micros queued_at = 0;
+    Micros since = 0;        // when queued, later when abandoned
+    std::uint32_t type = 0;  // its class, as numbered by the activity recorder
+    bool started = false;    // its first byte is written
 
     /// Replaces the time left in `bytes` by what is left at `now`.
     void update_time_left(Micros now);
@@ -76,8 +77,10 @@
   /// False only if it is certain that the peer has not closed or reset the connection and has sent
   /// nothing unsolicited.
   bool may_have_ended() const { return side_.io_.may_have_input(socket_.number()); }
-  /// Whether it is to be closed because an answer has not come in time.
-  bool timed_out(Micros now) const;
+  /// Why it is to be closed, if an answer has not come in time.
+  std::optional<core::ServerCloseReason> timed_out(Micros now) const;
+  /// Tells the handler that a close ends the attempt at this index.
+  void report_interruption(std::size_t index, core::ServerCloseReason reason) const;
 
   // Read and written by ServerSide.
   ServerSide& side_;
@@ -112,6 +115,7 @@
   Answer head_;                    // of a streamed value
   std::string unconfirmed_value_;  // its first bytes, before it is passed on
   Micros last_read_at_ = 0;        // when the last bytes came
+  std::size_t answer_bytes_ = 0;   // received of the answer that is being read
 };
 
 }  // namespace violetusher::net
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -8,6 +8,7 @@
 
 using core::flight::Kind;
 using core::flight::Reason;
+using CloseReason = core::ServerCloseReason;
 
 namespace {
 
@@ -114,7 +115,7 @@
     // Checked on each reuse: a close or unsolicited bytes behind the last answer would be taken for
     // the answer to this attempt.
     if (!idle->may_have_ended()) return idle;
-    close(*idle);
+    close(*idle, CloseReason::kClosedByServer);
   }
   for (auto& c : pool.connections)  // dialled for a request that has ended since
     if (c->connecting_ && c->entries_.empty() && !c->draining_) return c.get();
@@ -144,7 +145,7 @@
     auto at = std::find_if(pool.connections.begin(), pool.connections.end(),
                            [](const auto& c) { return c->abandoned(); });
     if (at == pool.connections.end()) return false;
-    close(**at);
+    close(**at, CloseReason::kMadeRoom);
   }
   if (total_ < limits_.connections) return true;
   // Otherwise close the connection that has been unused longest, to whichever server: in a large
@@ -155,7 +156,7 @@
       if (!c->connecting_ && c->abandoned() &&
           (!least_recent || c->last_active_at_ < least_recent->last_active_at_))
         least_recent = c.get();
-  if (least_recent) close(*least_recent);
+  if (least_recent) close(*least_recent, CloseReason::kMadeRoom);
   return least_recent != nullptr;
 }
 
@@ -207,11 +208,14 @@
   auto [c, index] = find(server, id, attempt);
   if (!c) return Status::Cancelled;
   ServerConnection::QueuedAttempt& e = c->entries_[index];
+  bool partly_written = index == c->sent_;
+  c->report_interruption(index,
+                         partly_written ? CloseReason::kPartialRequest : CloseReason::kAbandoned);
   e.live = false;
   e.since = io_.now();
-  if (index == c->sent_) {
-    // Partly written: writing the rest would send the request after its end.
-    close(*c);
+  if (partly_written) {
+    // Writing the rest would send the request after its end.
+    close(*c, CloseReason::kPartialRequest);
     return Status::NotSent;
   }
   // Only closing the connection tells the server that nobody waits any more, so that it may drop
@@ -220,7 +224,7 @@
   // where servers go on with queued work. Other attempts on the connection are spared: then the
   // answer is read and dropped when it comes.
   if (c->abandoned())
-    close(*c);
+    close(*c, CloseReason::kAbandoned);
   else if (c->paused_)
     c->resume();  // read and dropped, for the attempts behind it
   return Status::Cancelled;
@@ -242,19 +246,21 @@
   dirty_.push_back(&c);
 }
 
-void ServerSide::close(ServerConnection& c) {
+void ServerSide::close(ServerConnection& c, CloseReason reason) {
   if (c.closed_) return;
   c.closed_ = true;
+  closes_.add(reason);
   bool stale = c.has_answered_ && c.closed_by_peer_ && !c.reader_.in_answer();
   Status broken = stale ? Status::StaleConnection : Status::Reset;
   for (std::size_t k = 0; k < c.entries_.size(); ++k) {
     ServerConnection::QueuedAttempt& e = c.entries_[k];
-    if (e.live)
-      handler_.on_attempt_end(e.id, e.attempt,
-                              k >= c.sent_  ? Status::ConnectFailed
-                              : e.timed_out ? Status::Timeout
-                                            : broken,
-                              Answer());
+    if (!e.live) continue;
+    c.report_interruption(k, reason);
+    handler_.on_attempt_end(e.id, e.attempt,
+                            k >= c.sent_  ? Status::ConnectFailed
+                            : e.timed_out ? Status::Timeout
+                                          : broken,
+                            Answer());
   }
   c.entries_.clear();
   c.watch_.reset();
@@ -278,7 +284,7 @@
   RecycledQueue<ServerConnection::QueuedAttempt> waiting;
   std::swap(waiting, c.entries_);
   ServerPool& pool = c.pool_;
-  close(c);
+  close(c, CloseReason::kDialFailed);
   for (; !waiting.empty(); waiting.pop_front()) {
     ServerConnection::QueuedAttempt& e = waiting.front();
     ServerConnection* other = least_loaded(pool, Connecting::kExclude);
@@ -305,7 +311,7 @@
     for (auto& c : all)
       if (c->idle() && (!least_recent || c->last_active_at_ < least_recent->last_active_at_))
         least_recent = c.get();
-    close(*least_recent);
+    close(*least_recent, CloseReason::kIdle);
   }
 }
 
@@ -337,13 +343,16 @@
         continue;
       }
       if (c.entries_.empty()) {
-        if (c.draining_ || now - c.last_active_at_ > limits_.table.max_idle_time) close(c);
+        if (c.draining_)
+          close(c, CloseReason::kDrained);
+        else if (now - c.last_active_at_ > limits_.table.max_idle_time)
+          close(c, CloseReason::kIdle);
         continue;
       }
       // What a full socket buffer has held back this long was never sent, and must not be sent to a
       // server that may have begun to drain since.
       c.drop_unsent(now - limits_.dial_timeout);
-      if (c.timed_out(now)) close(c);
+      if (auto reason = c.timed_out(now)) close(c, *reason);
     }
     // The state of a server that was removed, by a whole list or by a change, is freed once its
     // last attempt has ended.
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -13,6 +13,7 @@
 #include "core/audit/activity_recorder.hpp"
 #include "core/connections/idle_budget.hpp"
 #include "core/flight/ring.hpp"
+#include "core/guard/server_closes.hpp"
 #include "io.hpp"
 #include "protocol/meta.hpp"
 
@@ -47,6 +48,8 @@
     virtual bool on_stream_begin(RequestId id, int attempt, const Answer& head) = 0;
     /// More of the value. Returns false if no more is to come until resume().
     virtual bool on_stream_data(RequestId id, int attempt, std::string_view piece) = 0;
+    /// The router gives the attempt up, or its connection has broken: told before its end.
+    virtual void on_attempt_interrupted(const core::InterruptedAttempt&) {}
   };
   /// Limits on connections and their use.
   struct Limits {
@@ -95,6 +98,8 @@
   /// Reports sent attempts and the available servers to `activity_recorder`, which must outlive
   /// this object.
   void attach_activity_recorder(core::audit::ActivityRecorder& activity_recorder);
+  /// Closes of connections so far, by reason.
+  const core::ServerCloseCounts& closes() const { return closes_; }
   /// Servers for which any state is kept.
   std::size_t pools() const { return pools_.size(); }
 
@@ -117,7 +122,7 @@
   void reassign_deferred(ServerPool& pool);
   void mark_dirty(ServerConnection& connection);
   /// Closes the connection; every attempt on it gets its outcome.
-  void close(ServerConnection& connection);
+  void close(ServerConnection& connection, core::ServerCloseReason reason);
   /// `why` is kTransientError if this machine could not dial, which is not held against the server.
   void on_dial_failed(ServerConnection& connection, CallResult why);
 
@@ -129,6 +134,7 @@
   core::audit::ActivityRecorder* activity_recorder_ = nullptr;
   std::unique_ptr<Alarm> sweep_alarm_;
   std::unordered_map<std::string, std::unique_ptr<ServerPool>> pools_;
+  core::ServerCloseCounts closes_;
   std::size_t total_ = 0;
   bool dials_deferred_ = false;  // since the last sweep, by this machine
   std::uint64_t written_ = 0;
--- a/tests/net/core_fixture.hpp
+++ b/tests/net/core_fixture.hpp
@@ -120,8 +120,9 @@
 
   explicit CoreFixture(RequestTable::Bounds bounds = {100, 1u << 20},
                        ClientSide::Limits client_limits = {}, std::size_t max_open = 2)
-      : core({io, config, pools, timers, feed, clients, servers, recorder, metrics, invariants},
-             bounds),
+      : core(
+            {io, config, pools, timers, feed, clients, servers, recorder, metrics, invariants, log},
+            bounds),
         clients(io, core, client_limits, &invariants),
         servers(io, core,
                 {.table = {.max_open = max_open, .mean_idle = 2, .max_idle_time = 9 * kSecond}},
@@ -174,6 +175,14 @@
   core::flight::Recorder recorder;
   core::ops::Metrics metrics;
   core::InvariantChecker invariants;
+  struct : LogSink {
+    bool write(std::string_view line) override {
+      lines.emplace_back(line);
+      return true;
+    }
+    std::vector<std::string> lines;
+  } log_sink;
+  Log log{log_sink};
   RequestCore core;
   ClientSide clients;
   ServerSide servers;
