--- /dev/null
+++ b/tests/daemon/slow_peers_test.cpp
@@ -0,0 +1,167 @@
+// Daemon processes whose cache servers are sound but slow within their answers, or slow to read
+// their requests: an answer that has begun is not cut off, and final answers keep their time.
+#include "paced_server.hpp"
+#include "process_support.hpp"
+
+namespace violetusher::net::test {
+namespace {
+
+constexpr int kServers = 5, kRequests = 12;
+constexpr int kDeadlineMs = 600;
+// PROTOCOL: time limits are 50 ms longer on sockets; the clients' threads share the machine.
+constexpr int kAnswerSlackMs = 50 + 100;
+
+std::string value_of(std::size_t length) { return std::string(length, 'v'); }
+
+std::string value_answer(const ReceivedCommand& command, std::size_t length) {
+  return value_for(command.line, value_of(length));
+}
+
+std::string receipt_answer(const ReceivedCommand& command) {
+  return "HD O" + id_of(command.line) + " cR-" + id_of(command.line) + "\r\n";
+}
+
+/// The answer up to `size` bytes, and the rest `gap_ms` later.
+std::vector<Piece> split_at(const std::string& text, std::size_t size, int gap_ms) {
+  return {{0, text.substr(0, size)}, {gap_ms, text.substr(size)}};
+}
+
+/// A daemon process and its cache servers, which all behave alike.
+class SlowPeers : public ::testing::Test {
+ protected:
+  /// Without `answer`, with the servers that the test has made itself.
+  void start(const PacedServer::Answer& answer, PacedServer::Reading reading = {}) {
+    for (int k = 0; answer && k < kServers; ++k)
+      servers_.push_back(std::make_unique<PacedServer>(answer, reading));
+    for (const auto& server : servers_) options_.dials.push_back(server->address());
+    folder_.write("config.json", config_text(options_));
+    daemon_ = std::make_unique<Daemon>(folder_);
+    port_ = daemon_->port();
+    ASSERT_NE(port_, 0) << daemon_->log();
+  }
+
+  std::vector<TimedAnswer> read_all(int deadline_ms = kDeadlineMs) {
+    std::vector<std::string> commands;
+    for (int k = 0; k < kRequests; ++k)
+      commands.push_back(read_command("r" + std::to_string(k), "key-" + std::to_string(k),
+                                      std::to_string(deadline_ms)));
+    return ask_all(port_, commands);
+  }
+  std::vector<TimedAnswer> write_all(const std::string& type, int deadline_ms,
+                                     const std::string& value = "hello") {
+    std::vector<std::string> commands;
+    for (int k = 0; k < kRequests; ++k)
+      commands.push_back(
+          write_command(type, "w" + std::to_string(k), std::to_string(deadline_ms), value));
+    return ask_all(port_, commands);
+  }
+  int commands_run() const {
+    std::size_t sum = 0;
+    for (const auto& server : servers_) sum += server->commands().size();
+    return static_cast<int>(sum);
+  }
+  static int served(const std::vector<TimedAnswer>& answers) {
+    return static_cast<int>(std::count_if(answers.begin(), answers.end(),
+                                          [](const TimedAnswer& a) { return a.served(); }));
+  }
+  void expect_values(const std::vector<TimedAnswer>& answers, std::size_t length) {
+    EXPECT_EQ(served(answers), kRequests) << daemon_->log();
+    for (const TimedAnswer& a : answers) {
+      EXPECT_EQ(a.value.size(), length) << a.line;
+      EXPECT_LE(a.first_byte_ms, kDeadlineMs + kAnswerSlackMs) << a.line;
+    }
+  }
+
+  RouterOptions options_{.deadline_us = "1000000", .objective_us = "150000", .once_class = true};
+  TemporaryDirectory folder_;
+  std::vector<std::unique_ptr<PacedServer>> servers_;
+  std::unique_ptr<Daemon> daemon_;
+  std::uint16_t port_ = 0;
+};
+
+// ---- answers that pause after their first byte ----
+
+TEST_F(SlowPeers, ALongValueWhoseBodyComesLateIsNotCutOff) {
+  start([](const ReceivedCommand& c) {
+    std::string text = value_answer(c, 200'000);
+    return split_at(text, text.find('\n') + 1, 360);
+  });
+  expect_values(read_all(), 200'000);
+}
+
+TEST_F(SlowPeers, ALongValueOfWhichTheHeadAloneComesInTimeIsNotCutOff) {
+  start([](const ReceivedCommand& c) {
+    std::string text = value_answer(c, 200'000);
+    return split_at(text, text.find('\n') + 1, kDeadlineMs + 300);
+  });
+  expect_values(read_all(), 200'000);
+}
+
+TEST_F(SlowPeers, ALongValueThatTricklesIsNotCutOff) {
+  start([](const ReceivedCommand& c) { return in_pieces(value_answer(c, 150'000), 5'000, 200); });
+  expect_values(read_all(), 150'000);
+}
+
+TEST_F(SlowPeers, AValueThatComesInSlowPiecesIsNotCutOff) {
+  start([](const ReceivedCommand& c) { return in_pieces(value_answer(c, 48'000), 8'200, 70); });
+  expect_values(read_all(), 48'000);
+}
+
+TEST_F(SlowPeers, ALineThatIsSplitByAPauseIsNotCutOff) {
+  start([](const ReceivedCommand& c) { return split_at(value_answer(c, 100), 9, 150); });
+  expect_values(read_all(), 100);
+}
+
+TEST_F(SlowPeers, ALineEndThatIsSplitByAPauseIsNotCutOff) {
+  start([](const ReceivedCommand& c) {
+    std::string text = value_answer(c, 100);
+    return split_at(text, text.size() - 1, 150);
+  });
+  expect_values(read_all(), 100);
+}
+
+TEST_F(SlowPeers, AReceiptThatIsSplitByAPauseIsNotCutOff) {
+  start([](const ReceivedCommand& c) { return split_at(receipt_answer(c), 7, 150); });
+  EXPECT_EQ(served(write_all("put", 1000)), kRequests) << daemon_->log();
+}
+
+TEST_F(SlowPeers, AReceiptOfAWriteThatMayRunOnceIsNotCutOff) {
+  start([](const ReceivedCommand& c) { return split_at(receipt_answer(c), 7, 150); });
+  EXPECT_EQ(served(write_all("pay", 1000)), kRequests) << daemon_->log();
+  EXPECT_EQ(commands_run(), kRequests);
+}
+
+TEST_F(SlowPeers, WithoutSecondCopiesASlowAnswerIsWaitedFor) {
+  options_.may_hedge = false;
+  start([](const ReceivedCommand& c) { return in_pieces(value_answer(c, 48'000), 8'200, 70); });
+  expect_values(read_all(), 48'000);
+  EXPECT_EQ(commands_run(), kRequests);
+}
+
+/// Attempts that share a connection: one that is given up must not end the answer of another.
+TEST_F(SlowPeers, ASlowAnswerOutlivesAnAttemptBehindItOnItsConnection) {
+  options_.streams = 8;
+  options_.sockets = 64;
+  start([](const ReceivedCommand& c) { return in_pieces(value_answer(c, 48'000), 8'200, 70); });
+  expect_values(read_all(), 48'000);
+}
+
+/// What the early end of paused answers was for: a spoilt answer is found out by its pause, and
+/// another server is asked before the caller waits long.
+TEST_F(SlowPeers, SpoiltAnswersOfTwoServersCostAnotherAttemptAndNoMore) {
+  static const char* const kSpoilt[] = {"VA 900 O% h1\r\nshort\r\n", "VA 5 O% h1",
+                                        "VA 5 O% h1\r\npri", "VA 200000 O% h1\r\nshort\r\n"};
+  for (int k = 0; k < kServers; ++k)
+    servers_.push_back(std::make_unique<PacedServer>([k](const ReceivedCommand& c) {
+      if (k >= 2) return std::vector<Piece>{{0, value_answer(c, 100)}};
+      std::string text = kSpoilt[c.number % 4];
+      return std::vector<Piece>{{0, text.replace(text.find('%'), 1, id_of(c.line))}};
+    }));
+  start({});
+  auto answers = read_all();
+  EXPECT_EQ(served(answers), kRequests) << daemon_->log();
+  for (const TimedAnswer& a : answers) EXPECT_LE(a.last_byte_ms, 2 * 80 + kAnswerSlackMs);
+}
+
+}  // namespace
+}  // namespace violetusher::net::test
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -252,7 +252,8 @@
   bool list_on_demand = false;            ///< lists are polled, not pushed
   bool may_cancel = true;
   bool may_hedge = true;
-  int streams = 1;  ///< per connection
+  bool once_class = false;  ///< a third class, "pay", whose requests may run once
+  int streams = 1;          ///< per connection
   std::string key_ttl_us = "5000000";
   std::string dial_timeout_us = "75000";
   int routers = 2;  ///< routers in the tier
@@ -280,6 +281,7 @@
          R"(,"Az":"a","FailureDomains":["a"],"TickUs":1000,)" + R"("MembershipMode":")" +
          (o.list_on_demand ? "subscribe" : "automatic") + R"(","Classes":[)" +
          one_class("read", "repeatable") + "," + one_class("put", "by_key") +
+         (o.once_class ? "," + one_class("pay", "once") : "") +
          R"(],"Tenants":[{"Name":"acme","Portion":1.0,"QuotaPerS":100000})" + tenants + R"(],)" +
          R"("Limits":{"MaxAttempts":5,"StreamsPerConn":)" + std::to_string(o.streams) +
          R"(,"DialTimeoutUs":)" + o.dial_timeout_us + R"(,"MayCancel":)" +
@@ -385,4 +387,12 @@
   return "mg " + key + " v O" + id + " Pc=read,t=acme,d=" + d + "\r\n";
 }
 
+/// A write of `value`: of class "put" with an idempotency key, or of class "pay" without one.
+inline std::string write_command(const std::string& type, const std::string& id,
+                                 const std::string& d, const std::string& value = "hello") {
+  std::string idempotency = type == "put" ? ",k=w" + id : "";
+  return "ms key-" + id + " " + std::to_string(value.size()) + " O" + id + " Pc=" + type +
+         ",t=acme,d=" + d + idempotency + "\r\n" + value + "\r\n";
+}
+
 }  // namespace violetusher::net::test
