A pause within an answer starts another attempt beside it and ends nothing

Cause: kPartialAnswerTimeout. One number answered two questions: is this connection still sound, and do we try another server? An answer that paused for 60 ms after its first byte was taken for spoilt, its connection was closed, and after five such servers the request was refused.

Now the pause is only told: ServerSide -> RequestCore -> Balancer::on_answer_pause. The decision module starts another attempt beside it, within the retry budget, where a request may have two attempts out (repeatable; keyed in its window), and the first whole answer wins. Otherwise the answer is waited for. A paused attempt keeps no failed one from being retried. What contradicts itself ends the attempt as before, and sooner than before in two cases: noise that has no line end, and a value's head with another request's id. Without any progress for 4 s a connection counts as broken.

--- a/include/violetusher/balancer.hpp
+++ b/include/violetusher/balancer.hpp
@@ -263,6 +263,9 @@
   /// A streamed response started to arrive.
   const Actions& on_response_start(Micros now, RequestId id, const std::string& server, int attempt,
                                    Micros latency);
+  /// The answer to an attempt has begun and pauses: it may be slow, or never be complete. Where a
+  /// request may have two attempts out, another one may start beside it; none is ended for this.
+  const Actions& on_answer_pause(Micros now, RequestId id, int attempt);
   /// An attempt ended.
   const Actions& on_outcome(Micros now, const Outcome& outcome);
   /// The client disconnected: the request needs no answer any more.
--- a/src/core/flight/record.cpp
+++ b/src/core/flight/record.cpp
@@ -3,11 +3,11 @@
 namespace violetusher::core::flight {
 
 const char* name_of(Kind kind) {
-  static const char* const kNames[] = {"none",          "taken",         "routed",       "sent",
-                                       "written",       "dial",          "dial-end",     "moved",
-                                       "end",           "cancelled",     "refused",      "failed",
-                                       "answered",      "gone",          "forgotten",    "late",
-                                       "second-answer", "attempt-after", "no-connection"};
+  static const char* const kNames[] = {
+      "none",    "taken",         "routed",        "sent",          "written",
+      "dial",    "dial-end",      "moved",         "end",           "cancelled",
+      "refused", "failed",        "answered",      "gone",          "forgotten",
+      "late",    "second-answer", "attempt-after", "no-connection", "answer-paused"};
   auto at = static_cast<std::uint8_t>(kind);
   return at <= kMaxKind ? kNames[at] : "unknown";
 }
--- a/src/core/flight/record.hpp
+++ b/src/core/flight/record.hpp
@@ -37,8 +37,9 @@
   kAttemptAfterAnswer,  ///< an attempt after the final answer was suppressed
   kNoConnection,        ///< no connection to the server had room for the attempt; text: the server;
                         ///< value: its connections
+  kAnswerPaused,        ///< the answer to an attempt has begun and pauses; text: the server
 };
-constexpr std::uint8_t kMaxKind = static_cast<std::uint8_t>(Kind::kNoConnection);
+constexpr std::uint8_t kMaxKind = static_cast<std::uint8_t>(Kind::kAnswerPaused);
 
 /// Which limit or rule ended a request.
 enum class Reason : std::uint8_t {
--- a/src/kit/flight/show.cpp
+++ b/src/kit/flight/show.cpp
@@ -55,6 +55,8 @@
              (r.value > 0 ? ", " + std::to_string(r.value) + " requests ahead" : "");
     case Kind::kNoConnection:
       return text + " to " + name + " had room (" + std::to_string(r.value) + " connections)";
+    case Kind::kAnswerPaused:
+      return text + " at " + name;
     case Kind::kWritten:
       return text + " to connection " + std::to_string(r.number);
     case Kind::kEnd:
--- a/src/net/module_feed.hpp
+++ b/src/net/module_feed.hpp
@@ -34,6 +34,12 @@
   int attempt;
   violetusher::Micros latency;
 };
+/// The answer to an attempt has begun and pauses.
+struct AnswerPauseEvent {
+  std::uint32_t module;
+  violetusher::RequestId id;
+  int attempt;
+};
 /// The module was created.
 struct StartEvent {
   std::uint32_t module;
@@ -51,7 +57,7 @@
 };
 /// Any event for a decision module.
 using ModuleEvent = std::variant<StartEvent, RequestEvent, OutcomeEvent, DisconnectEvent,
-                                 StreamBeginEvent, TimerEvent, ListEvent>;
+                                 StreamBeginEvent, AnswerPauseEvent, TimerEvent, ListEvent>;
 
 /// A first-in, first-out queue of module events.
 class ModuleFeed {
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -252,6 +252,14 @@
   deps_.invariants.on_attempt_start(start);
 }
 
+void RequestCore::on_answer_paused(RequestId id, int attempt) {
+  OpenRequest* open = table_.find(id);
+  if (!open || open->answered()) return;
+  record_event(Kind::kAnswerPaused, id, attempt, 0, 0, open->attempt(attempt).server);
+  ++open->undelivered_events;
+  deps_.feed.push(AnswerPauseEvent{open->module, id, attempt});
+}
+
 /// The final response except for the rest of its value: from here on the request has no deadline
 /// and no other attempt, and a failure shows to the client as an incomplete value.
 bool RequestCore::on_stream_begin(RequestId id, int attempt, const Answer& head) {
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -89,6 +89,7 @@
   void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) override;
   void on_attempt_written(RequestId id, int attempt, bool server_available,
                           Micros sent_deadline) override;
+  void on_answer_paused(RequestId id, int attempt) override;
   bool on_stream_begin(RequestId id, int attempt, const Answer& head) override;
   bool on_stream_data(RequestId id, int attempt, std::string_view piece) override;
   void on_attempt_interrupted(const core::InterruptedAttempt& interrupted) override;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -317,6 +317,7 @@
     if (auto* e = std::get_if<OutcomeEvent>(&event)) core_.on_event_delivered(e->outcome.id);
     if (auto* e = std::get_if<DisconnectEvent>(&event)) core_.on_event_delivered(e->id);
     if (auto* e = std::get_if<StreamBeginEvent>(&event)) core_.on_event_delivered(e->id);
+    if (auto* e = std::get_if<AnswerPauseEvent>(&event)) core_.on_event_delivered(e->id);
   }
   pools_.free_modules(io_.now());  // once per iteration, while no module is being called
 }
@@ -334,6 +335,8 @@
     return balancer.on_client_disconnect(now, e->id);
   if (auto* e = std::get_if<StreamBeginEvent>(&event))
     return balancer.on_response_start(now, e->id, e->server, e->attempt, e->latency);
+  if (auto* e = std::get_if<AnswerPauseEvent>(&event))
+    return balancer.on_answer_pause(now, e->id, e->attempt);
   if (auto* e = std::get_if<ListEvent>(&event)) return balancer.on_list(now, e->scope, e->servers);
   if (auto* e = std::get_if<TimerEvent>(&event)) return balancer.on_timer(now, e->token);
   return balancer.start(now);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-// An answer that has begun is complete within this time of its last bytes or never: a line or value
-// without its end, a length that does not fit, a server that stops in the middle. It may be too
-// short on a path that loses packets and retransmits them later than this.
-constexpr Micros kPartialAnswerTimeout = 60 * kMillisecond;
-// The same for a streamed value: servers write it in pieces, over seconds.
-constexpr Micros kStreamedValueTimeout = 4 * kSecond;
 // The answer to an abandoned attempt is awaited for this long, so that its connection can be
 // reused; after that the machine is considered silent.
 constexpr Micros kAbandonedAnswerTimeout = kSecond;
@@ -196,8 +190,8 @@
     side_.close(*this, CloseReason::kClosedByServer);
     return;
   }
-  last_read_at_ = last_active_at_ = side_.io_.now();
-  answer_bytes_ += static_cast<std::size_t>(got);
+  last_active_at_ = side_.io_.now();
+  progress_.on_bytes(last_active_at_, static_cast<std::size_t>(got));
   std::string_view in(side_.read_buffer_.get(), static_cast<std::size_t>(got));
   Answer& answer = side_.answer_;
   while (!closed_) {
@@ -222,7 +216,7 @@
     }
     has_answered_ = true;
     streaming_ = false;
-    answer_bytes_ = in.size();
+    progress_.on_complete(in.size());
     bool last = answer.close_after;
     const QueuedAttempt& done = entries_.front();
     RequestId id = done.id;
@@ -237,9 +231,13 @@
       return;
     }
   }
-  // The same holds for the beginning of an unsolicited answer.
+  if (closed_) return;
+  // The same holds for the beginning of an unsolicited answer, or of an answer to another request.
+  const Answer* head = reader_.value_head();
   if (sent_ == 0 && reader_.in_answer())
     side_.close(*this, CloseReason::kUnsolicitedBytes);
+  else if (head && !matches(entries_.front(), *head))
+    side_.close(*this, CloseReason::kProtocolError);
   else if (entries_.empty() && draining_)
     side_.close(*this, CloseReason::kDrained);
   else
@@ -274,7 +272,7 @@
 
 void ServerConnection::resume() {
   paused_ = false;
-  last_read_at_ = side_.io_.now();  // the timeout of the next piece starts here
+  progress_.on_read_resumed(side_.io_.now());
   watch_->read(true);
 }
 
@@ -329,12 +327,16 @@
   const QueuedAttempt& head = entries_.front();
   if (!head.live && now - std::max(head.since, last_active_at_) > kAbandonedAnswerTimeout)
     return CloseReason::kSilent;
-  if (reader_.in_answer() && !paused_ &&
-      now - last_read_at_ > (streaming_ ? kStreamedValueTimeout : kPartialAnswerTimeout))
-    return CloseReason::kNoProgress;
+  if (receiving() && progress_.timed_out(now) && !may_have_ended()) return CloseReason::kNoProgress;
   return std::nullopt;
 }
 
+void ServerConnection::report_pause(Micros now) {
+  if (!receiving() || streaming_ || !progress_.take_pause(now)) return;
+  const QueuedAttempt& e = entries_.front();
+  if (e.live) side_.handler_.on_answer_paused(e.id, e.attempt);
+}
+
 void ServerConnection::report_interruption(std::size_t index, CloseReason reason) const {
   const QueuedAttempt& e = entries_[index];
   core::InterruptedAttempt interrupted;
@@ -342,7 +344,7 @@
   interrupted.attempt = e.attempt;
   interrupted.server = pool_.id;
   interrupted.reason = reason;
-  interrupted.answer_bytes = index == 0 ? answer_bytes_ : 0;
+  interrupted.answer_bytes = index == 0 ? progress_.bytes() : 0;
   interrupted.request_bytes = index < sent_ ? e.size : index == sent_ ? partial_ : 0;
   interrupted.age = side_.io_.now() - e.queued_at;
   side_.handler_.on_attempt_interrupted(interrupted);
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -2,6 +2,7 @@
 // the same order. Used only by ServerSide, which owns all of them.
 #pragma once
 
+#include "core/attempt/answer_progress.hpp"
 #include "core/connections/idle_budget.hpp"
 #include "recycled_queue.hpp"
 #include "server_side.hpp"
@@ -77,6 +78,8 @@
   /// False only if it is certain that the peer has not closed or reset the connection and has sent
   /// nothing unsolicited.
   bool may_have_ended() const { return side_.io_.may_have_input(socket_.number()); }
+  /// Tells the handler, once for each answer, that one has begun and pauses.
+  void report_pause(Micros now);
   /// Why it is to be closed, if an answer has not come in time.
   std::optional<core::ServerCloseReason> timed_out(Micros now) const;
   /// Tells the handler that a close ends the attempt at this index.
@@ -105,6 +108,8 @@
   Micros defer_until_;  // a dial that this machine cannot start is retried until then
 
  private:
+  /// An answer has begun, and the router reads it.
+  bool receiving() const { return reader_.in_answer() && !paused_; }
   void refresh_unsent();
   void record_started();
   void on_connected(unsigned what);
@@ -114,8 +119,7 @@
 
   Answer head_;                    // of a streamed value
   std::string unconfirmed_value_;  // its first bytes, before it is passed on
-  Micros last_read_at_ = 0;        // when the last bytes came
-  std::size_t answer_bytes_ = 0;   // received of the answer that is being read
+  core::AnswerProgress progress_;  // of the answer that is being read
 };
 
 }  // namespace violetusher::net
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -352,6 +352,7 @@
       // What a full socket buffer has held back this long was never sent, and must not be sent to a
       // server that may have begun to drain since.
       c.drop_unsent(now - limits_.dial_timeout);
+      c.report_pause(now);
       if (auto reason = c.timed_out(now)) close(c, *reason);
     }
     // The state of a server that was removed, by a whole list or by a change, is freed once its
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -44,6 +44,8 @@
     /// ready; `sent_deadline`: the end of the time left that the server was sent.
     virtual void on_attempt_written(RequestId id, int attempt, bool server_available,
                                     Micros sent_deadline) = 0;
+    /// The attempt's answer has begun and pauses: it may be slow, or never be complete. Told once.
+    virtual void on_answer_paused(RequestId, int) {}
     /// The head of a streamed value has come. Returns false if nobody waits for the rest.
     virtual bool on_stream_begin(RequestId id, int attempt, const Answer& head) = 0;
     /// More of the value. Returns false if no more is to come until resume().
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -117,6 +117,10 @@
 constexpr double kMaxRetryTokens = 10;
 constexpr double kHedgeTokensPerRequest = 0.03;
 constexpr double kMaxHedgeTokens = 3;
+// Retry tokens for an attempt beside a paused answer: as for a failure of one server.
+constexpr double kPausedAnswerCost = 0.5;
+// Weight of a paused answer as a timeout of its server, and of a hedged attempt.
+constexpr double kHedgedTimeoutWeight = 0.5;
 // The attempt timeout is this latency quantile times the factor.
 constexpr double kTimeoutLatencyQuantile = 0.95;
 constexpr double kAttemptTimeoutFactor = 2.0;
@@ -244,6 +248,7 @@
     int server;  // index in `servers`
     Micros sent;
     Execution execution = Execution::Pending;
+    bool paused = false;  // its answer has begun and then paused
   };
   struct ClassState {
     ClassSettings settings;
@@ -909,6 +914,12 @@
     return std::any_of(open.attempts.begin(), open.attempts.end(),
                        [](const Attempt& a) { return a.execution == Execution::Pending; });
   }
+  /// Whether an attempt is pending that nothing speaks against yet.
+  bool any_awaited(const OpenRequest& open) const {
+    return std::any_of(open.attempts.begin(), open.attempts.end(), [](const Attempt& a) {
+      return a.execution == Execution::Pending && !a.paused;
+    });
+  }
   bool may_have_run(const OpenRequest& open) const {
     return std::any_of(open.attempts.begin(), open.attempts.end(),
                        [](const Attempt& a) { return a.execution != Execution::NeverRan; });
@@ -1088,9 +1099,11 @@
     return status == Status::Reset || status == Status::StaleConnection;
   }
 
-  void retry_or_finish(OpenRequest& open, Status status) {
-    if (open.closed || any_pending(open)) return;
-    const ServerState& server = servers[open.attempts.back().server];
+  /// After the end of `attempt`. Attempts with a paused answer keep no other from being tried, and
+  /// are waited for if there is none.
+  void retry_or_finish(OpenRequest& open, const Attempt& attempt, Status status) {
+    if (open.closed || any_awaited(open)) return;
+    const ServerState& server = servers[attempt.server];
     bool isolated = is_isolated_failure(status, server);
     bool never_sent = status == Status::ConnectFailed || status == Status::NotSent;
     bool never_ran = status == Status::Overloaded || never_sent;
@@ -1117,7 +1130,15 @@
       retry_tokens -= cost;
       if (send(open)) return;
     }
-    finish(open, isolated);
+    if (!any_pending(open)) finish(open, isolated);
+  }
+
+  /// Tries another server beside answers that have begun and pause. A spoilt answer looks like one
+  /// of a slow server until its deadline, and costs its caller no more than this.
+  void hedge_paused(OpenRequest& open) {
+    bool time_left = open.deadline - now > 2 * config.timer_granularity;
+    if (any_awaited(open) || !time_left || retry_tokens < kPausedAnswerCost) return;
+    if (send(open)) retry_tokens -= kPausedAnswerCost;
   }
 
   // ---- host list ----
@@ -1334,6 +1355,21 @@
   return impl.actions;
 }
 
+const Actions& Balancer::on_answer_pause(Micros now, RequestId id, int attempt) {
+  Impl& impl = *impl_;
+  impl.begin_call(now);
+  auto it = impl.open_requests.find(id);
+  if (it == impl.open_requests.end() || it->second.closed || attempt < 0) return impl.actions;
+  Impl::OpenRequest& open = it->second;
+  if (attempt >= static_cast<int>(open.attempts.size())) return impl.actions;
+  Impl::Attempt& paused = open.attempts[static_cast<std::size_t>(attempt)];
+  if (paused.execution != Impl::Execution::Pending || paused.paused) return impl.actions;
+  paused.paused = true;
+  impl.record_server_failure(impl.servers[paused.server], Impl::kTimeouts, kHedgedTimeoutWeight);
+  impl.hedge_paused(open);
+  return impl.actions;
+}
+
 const Actions& Balancer::on_outcome(Micros now, const Outcome& outcome) {
   Impl& impl = *impl_;
   impl.begin_call(now);
@@ -1400,7 +1436,7 @@
     if (!open.closed) impl.cancel_pending(open);
     open.closed = true;
   } else {
-    impl.retry_or_finish(open, outcome.status);
+    impl.retry_or_finish(open, attempt, outcome.status);
   }
   impl.erase_if_done(outcome.id);
   return impl.actions;
@@ -1449,7 +1485,7 @@
              open.attempts.back().execution == Impl::Execution::Pending &&
              impl.now - open.attempts.back().sent >= impl.attempt_timeout(open) / 2) {
     Impl::ServerState& server = impl.servers[open.attempts.back().server];
-    impl.record_server_failure(server, Impl::kTimeouts, 0.5);
+    impl.record_server_failure(server, Impl::kTimeouts, kHedgedTimeoutWeight);
     if (impl.hedge_tokens >= 1 && (!impl.shedding() || impl.is_outlier(server, Impl::kTimeouts))) {
       impl.hedge_tokens -= 1;
       impl.send(open);
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -74,6 +74,20 @@
   return std::none_of(text.begin(), text.end(), [](unsigned char c) { return c < 32 || c == 127; });
 }
 
+/// Whether an answer's line may begin with `text`. Noise without a line end is told from a line
+/// that is still being written as early as that.
+bool may_begin_answer(std::string_view text) {
+  if (text.back() == '\r') text.remove_suffix(1);
+  if (!printable(text)) return false;
+  constexpr std::string_view kVerbs[] = {"VA", "HD", "EN", "SERVER_ERROR", "CLIENT_ERROR", "ERROR",
+                                         "NS", "EX", "NF"};
+  std::string_view verb = text.substr(0, text.find(' '));
+  bool whole = verb.size() < text.size();
+  return std::any_of(std::begin(kVerbs), std::end(kVerbs), [&](std::string_view known) {
+    return whole ? known == verb : known.substr(0, verb.size()) == verb;
+  });
+}
+
 }  // namespace
 
 void append_command(std::string& out, const Command& command, std::int64_t wait_ms) {
@@ -306,7 +320,7 @@
       bool too_long = false;
       auto line = read_line(in, partial_, too_long);
       if (too_long) return Got::Broken;
-      if (!line) return Got::Nothing;
+      if (!line) return may_begin_answer(partial_) ? Got::Nothing : Got::Broken;
       bool good = parse_line(*line, answer);
       std::string().swap(partial_);
       if (!good) return Got::Broken;
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -75,6 +75,8 @@
   std::string_view piece() const { return piece_; }
   /// True while an answer is incomplete.
   bool in_answer() const { return !partial_.empty() || state_ != State::Line; }
+  /// The header of the answer whose value is incomplete; null while there is none.
+  const Answer* value_head() const { return state_ == State::Line ? nullptr : &pending_; }
 
  private:
   enum class State { Line, Value, StreamedValue, StreamedValueEnd };
--- a/tests/net/core_fixture.hpp
+++ b/tests/net/core_fixture.hpp
@@ -159,6 +159,7 @@
       if (auto* e = std::get_if<OutcomeEvent>(&event)) core.on_event_delivered(e->outcome.id);
       if (auto* e = std::get_if<DisconnectEvent>(&event)) core.on_event_delivered(e->id);
       if (auto* e = std::get_if<StreamBeginEvent>(&event)) core.on_event_delivered(e->id);
+      if (auto* e = std::get_if<AnswerPauseEvent>(&event)) core.on_event_delivered(e->id);
     }
   }
   void advance(Micros span) {
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -740,7 +740,8 @@
   b.on_list(0, ListScope::Full, fleet(6));
   RequestId id = 0;
   auto ask = [&](Micros now, const std::string& tenant) {
-    Request r = make_read(++id, "k" + std::to_string(id));
+    ++id;
+    Request r = make_read(id, "k" + std::to_string(id));
     r.tenant = tenant;
     return sent_to(b.on_request(now, r));
   };
