A long value that has begun by the deadline is passed on instead of being cut off

What callers saw: reads of values over 64 KiB refused at their deadline although a sound server had begun the value in time.

Cause: a long value is passed on only after 16 KiB, more than comes with a false length, and until then the deadline ended it like any attempt. The length can't be confirmed any later, so the trust that it lacks must not cost a sound server's value.

Now the head of a long value sets a timer, 20 ms and two timer steps before the deadline. If the request is unanswered by then, the value of which most has come is streamed from there, however little it is.

--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -11,6 +11,9 @@
 constexpr Micros kFinalAnswerGrace = 15 * kMillisecond;
 // A response later than this after the deadline is reported as an alert.
 constexpr Micros kLateAnswerTolerance = 2 * kFinalAnswerGrace;
+// A long value that has begun by this time before the deadline is passed on: its first bytes are
+// timed, the rest is not. Besides, the module answers two timer steps before the deadline.
+constexpr Micros kStreamBeginMargin = 20 * kMillisecond;
 // Timers per open request: its own, and one for each attempt.
 constexpr std::size_t kTimersPerRequest = 8;
 
@@ -260,6 +263,32 @@
   deps_.feed.push(AnswerPauseEvent{open->module, id, attempt});
 }
 
+void RequestCore::on_long_value(RequestId id, int) {
+  OpenRequest* open = table_.find(id);
+  if (!open || open->answered() || open->stream_timer) return;
+  Micros margin = kStreamBeginMargin + 2 * deps_.config.settings.timer_granularity;
+  open->stream_timer = deps_.timers.set(std::max(open->deadline - margin, deps_.io.now()),
+                                        {.kind = Timers::Task::Kind::kStreamBegin, .token = id});
+}
+
+/// Passes on the long value of which most has come: by the deadline its length can't be confirmed
+/// any more, and a sound server may still be writing it.
+void RequestCore::begin_stream(OpenRequest& open) {
+  open.stream_timer = 0;
+  if (open.answered()) return;
+  int best = -1;
+  std::size_t most = 0;
+  for (std::size_t k = 0; k < open.attempts.size(); ++k) {
+    const Attempt& a = open.attempts[k];
+    if (!a.in_flight) continue;
+    auto state = deps_.servers.answer_state(a.server, open.id, static_cast<int>(k));
+    if (!state.long_value || state.bytes <= most) continue;
+    best = static_cast<int>(k);
+    most = state.bytes;
+  }
+  if (best >= 0) deps_.servers.begin_stream(open.attempt(best).server, open.id, best);
+}
+
 /// The final response except for the rest of its value: from here on the request has no deadline
 /// and no other attempt, and a failure shows to the client as an incomplete value.
 bool RequestCore::on_stream_begin(RequestId id, int attempt, const Answer& head) {
@@ -339,6 +368,10 @@
     }
     return;
   }
+  if (task.kind == Timers::Task::Kind::kStreamBegin) {
+    begin_stream(*open);
+    return;
+  }
   bool all = task.kind == Timers::Task::Kind::kDeadline;
   if (all) open->deadline_timer = 0;
   for (std::size_t k = 0; k < open->attempts.size(); ++k) {
@@ -403,6 +436,7 @@
 void RequestCore::release_if_done(OpenRequest& open) {
   if (!open.done()) return;
   deps_.timers.cancel(open.deadline_timer);
+  deps_.timers.cancel(open.stream_timer);
   for (Timers::Handle& timer : open.module_timers) deps_.timers.cancel(timer);
   record_event(Kind::kReleased, open.id);
   deps_.pools.end_request(open.module, deps_.io.now());
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -90,6 +90,7 @@
   void on_attempt_written(RequestId id, int attempt, bool server_available,
                           Micros sent_deadline) override;
   void on_answer_paused(RequestId id, int attempt) override;
+  void on_long_value(RequestId id, int attempt) override;
   bool on_stream_begin(RequestId id, int attempt, const Answer& head) override;
   bool on_stream_data(RequestId id, int attempt, std::string_view piece) override;
   void on_attempt_interrupted(const core::InterruptedAttempt& interrupted) override;
@@ -104,6 +105,7 @@
   void respond_with(OpenRequest& open, const Answer& answer);
   const Reply& reply_without_room(const OpenRequest& open) const;
   bool within_retry_budget(OpenRequest& open);
+  void begin_stream(OpenRequest& open);
   void end_stream(OpenRequest& open, bool whole);
   void report_outcome(OpenRequest& open, int attempt, Status status, Answer* answer);
   void report_disconnect(OpenRequest& open);
--- a/src/net/request_table.cpp
+++ b/src/net/request_table.cpp
@@ -23,7 +23,7 @@
   module = 0;
   traffic.reset();
   ticket = {};
-  deadline_timer = 0;
+  deadline_timer = stream_timer = 0;
   module_timers.clear();
 }
 
--- a/src/net/request_table.hpp
+++ b/src/net/request_table.hpp
@@ -39,6 +39,7 @@
   std::shared_ptr<core::TrafficPolicy> traffic;  ///< null if no operator file is in use
   core::TrafficPolicy::Ticket ticket;
   Timers::Handle deadline_timer = 0;
+  Timers::Handle stream_timer = 0;            ///< set once a long value has begun to come
   std::vector<Timers::Handle> module_timers;  ///< set by its module for it
 
   /// Resets to the initial state, but keeps the memory of strings and vectors for the next request.
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -207,7 +207,8 @@
       return;
     }
     if (what == AnswerReader::Got::Begin) {
-      head_ = answer;
+      if (entries_.front().live)
+        side_.handler_.on_long_value(entries_.front().id, entries_.front().attempt);
       continue;
     }
     if (what == AnswerReader::Got::Piece) {
@@ -247,20 +248,32 @@
 /// A value is streamed on only after more of it has come than accompanies a false length. Until
 /// then it can still be a failed attempt and be retried elsewhere.
 void ServerConnection::on_value_piece(std::string_view piece) {
-  QueuedAttempt& e = entries_.front();
-  if (!streaming_) {
-    unconfirmed_value_.append(piece);
-    if (unconfirmed_value_.size() < kMinStreamedBytes) return;
-    streaming_ = true;
-    std::string first = std::exchange(unconfirmed_value_, std::string());
-    if (e.live) e.live = side_.handler_.on_stream_begin(e.id, e.attempt, head_);
-    e.timed_out = false;  // its client waits for the rest, whatever the attempt took so far
-    if (e.live) forward(first);
-    // Other attempts on the connection are spared: for them the value is read and dropped.
-    if (!e.live && abandoned()) side_.close(*this, CloseReason::kAbandoned);
-  } else if (e.live) {
-    forward(piece);
+  if (streaming_) {
+    if (entries_.front().live) forward(piece);
+    return;
   }
+  unconfirmed_value_.append(piece);
+  if (unconfirmed_value_.size() >= kMinStreamedBytes) begin_stream();
+}
+
+void ServerConnection::begin_stream() {
+  QueuedAttempt& e = entries_.front();
+  streaming_ = true;
+  std::string first = std::exchange(unconfirmed_value_, std::string());
+  if (e.live) e.live = side_.handler_.on_stream_begin(e.id, e.attempt, *reader_.value_head());
+  e.timed_out = false;  // its client waits for the rest, whatever the attempt took so far
+  if (e.live && !first.empty()) forward(first);
+  // Other attempts on the connection are spared: for them the value is read and dropped.
+  if (!e.live && abandoned()) side_.close(*this, CloseReason::kAbandoned);
+}
+
+ServerSide::AnswerState ServerConnection::answer_state() const {
+  const Answer* head = reader_.value_head();
+  ServerSide::AnswerState state;
+  state.begun = reader_.in_answer();
+  state.long_value = head && head->length > protocol::kMaxValueBytes && !streaming_;
+  state.bytes = progress_.bytes();
+  return state;
 }
 
 void ServerConnection::forward(std::string_view piece) {
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -62,11 +62,15 @@
              Micros send_before);
   /// Queues an attempt that has waited on another connection.
   void take_over(QueuedAttempt&& entry);
+  /// Streams the long value that is being received.
+  void begin_stream();
   /// Reads again after a pause.
   void resume();
   /// Ends the attempts at the back that are entirely unwritten and were queued before `since`.
   void drop_unsent(Micros since);
 
+  /// What has come of the answer to the first attempt.
+  ServerSide::AnswerState answer_state() const;
   /// Established, with no attempt on it.
   bool idle() const { return !connecting_ && entries_.empty(); }
   /// Whether a part of the entry at this index is written.
@@ -117,7 +121,6 @@
   void on_value_piece(std::string_view piece);
   void forward(std::string_view piece);
 
-  Answer head_;                    // of a streamed value
   std::string unconfirmed_value_;  // its first bytes, before it is passed on
   core::AnswerProgress progress_;  // of the answer that is being read
 };
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -230,6 +230,19 @@
   return Status::Cancelled;
 }
 
+ServerSide::AnswerState ServerSide::answer_state(const std::string& server, RequestId id,
+                                                 int attempt) {
+  auto [c, index] = find(server, id, attempt);
+  return c && index == 0 ? c->answer_state() : AnswerState();
+}
+
+bool ServerSide::begin_stream(const std::string& server, RequestId id, int attempt) {
+  auto [c, index] = find(server, id, attempt);
+  if (!c || index != 0 || !c->answer_state().long_value) return false;
+  c->begin_stream();
+  return true;
+}
+
 void ServerSide::resume(const std::string& server, RequestId id, int attempt) {
   auto at = pools_.find(server);
   if (at == pools_.end()) return;
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -46,7 +46,10 @@
                                     Micros sent_deadline) = 0;
     /// The attempt's answer has begun and pauses: it may be slow, or never be complete. Told once.
     virtual void on_answer_paused(RequestId, int) {}
-    /// The head of a streamed value has come. Returns false if nobody waits for the rest.
+    /// The head of a value that is too long to be buffered has come. It is streamed once more of it
+    /// has come, or from begin_stream() on.
+    virtual void on_long_value(RequestId, int) {}
+    /// A streamed value begins. Returns false if nobody waits for it.
     virtual bool on_stream_begin(RequestId id, int attempt, const Answer& head) = 0;
     /// More of the value. Returns false if no more is to come until resume().
     virtual bool on_stream_data(RequestId id, int attempt, std::string_view piece) = 0;
@@ -81,6 +84,16 @@
   bool may_abandon(const std::string& server, RequestId id, int attempt);
   /// Abandons an attempt: NotSent if no whole attempt was sent, Cancelled if it may have run.
   Status cancel(const std::string& server, RequestId id, int attempt);
+  /// What has come of an attempt's answer.
+  struct AnswerState {
+    bool begun = false;
+    bool long_value = false;  ///< its head has come, and it can be streamed
+    std::size_t bytes = 0;
+  };
+  AnswerState answer_state(const std::string& server, RequestId id, int attempt);
+  /// Streams a long value from now on, however little of it has come; returns false if the attempt
+  /// receives none. Calls the handler.
+  bool begin_stream(const std::string& server, RequestId id, int attempt);
   /// Resumes the streamed value of the attempt.
   void resume(const std::string& server, RequestId id, int attempt);
   /// Writes the queued attempts. Call once per iteration of the loop.
--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -21,6 +21,7 @@
     enum class Kind : std::uint8_t {
       kModule,          ///< calls the decision module
       kAttemptTimeout,  ///< ends an attempt at its timeout
+      kStreamBegin,     ///< passes on a long value that has begun, before the deadline
       kDeadline,        ///< ends a request at its deadline
       kFinalAnswer,     ///< answers a request that its module has left open
     };
