Without second copies, an attempt that progresses is not ended by its own timeout

What callers saw: where the settings allow no second copies, a request whose server's answer had begun was refused or failed, as the module's time limit of an attempt (about twice the usual latency) closed on the answer and a next server was as slow.

Cause: RequestCore::on_timer ended an attempt whatever had come of it. The limit is the module's answer to "do we try elsewhere?"; it can't start an attempt beside this one here, and ending one that progresses for another that has to begin anew gains nothing.

Now an attempt whose answer has begun is waited for until the request's deadline, and one whose request is still being read by its server as long as the server takes a part of it every 60 ms. A silent one is ended as before.

All 11 SlowPeers pass.

--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -7,13 +7,8 @@
 
 using core::flight::Kind;
 
-// A request that its module leaves open this long after the deadline is failed by the router.
-constexpr Micros kFinalAnswerGrace = 15 * kMillisecond;
 // A response later than this after the deadline is reported as an alert.
-constexpr Micros kLateAnswerTolerance = 2 * kFinalAnswerGrace;
-// A long value that has begun by this time before the deadline is passed on: its first bytes are
-// timed, the rest is not. Besides, the module answers two timer steps before the deadline.
-constexpr Micros kStreamBeginMargin = 20 * kMillisecond;
+constexpr Micros kLateAnswerTolerance = 30 * kMillisecond;
 // Timers per open request: its own, and one for each attempt.
 constexpr std::size_t kTimersPerRequest = 8;
 
@@ -263,32 +258,6 @@
   deps_.feed.push(AnswerPauseEvent{open->module, id, attempt});
 }
 
-void RequestCore::on_long_value(RequestId id, int) {
-  OpenRequest* open = table_.find(id);
-  if (!open || open->answered() || open->stream_timer) return;
-  Micros margin = kStreamBeginMargin + 2 * deps_.config.settings.timer_granularity;
-  open->stream_timer = deps_.timers.set(std::max(open->deadline - margin, deps_.io.now()),
-                                        {.kind = Timers::Task::Kind::kStreamBegin, .token = id});
-}
-
-/// Passes on the long value of which most has come: by the deadline its length can't be confirmed
-/// any more, and a sound server may still be writing it.
-void RequestCore::begin_stream(OpenRequest& open) {
-  open.stream_timer = 0;
-  if (open.answered()) return;
-  int best = -1;
-  std::size_t most = 0;
-  for (std::size_t k = 0; k < open.attempts.size(); ++k) {
-    const Attempt& a = open.attempts[k];
-    if (!a.in_flight) continue;
-    auto state = deps_.servers.answer_state(a.server, open.id, static_cast<int>(k));
-    if (!state.long_value || state.bytes <= most) continue;
-    best = static_cast<int>(k);
-    most = state.bytes;
-  }
-  if (best >= 0) deps_.servers.begin_stream(open.attempt(best).server, open.id, best);
-}
-
 /// The final response except for the rest of its value: from here on the request has no deadline
 /// and no other attempt, and a failure shows to the client as an incomplete value.
 bool RequestCore::on_stream_begin(RequestId id, int attempt, const Answer& head) {
@@ -356,45 +325,6 @@
                    {"answer_bytes", answer_bytes}});
 }
 
-/// Handles the timeout of an attempt or the deadline of the request.
-void RequestCore::on_timer(const Timers::Task& task) {
-  OpenRequest* open = table_.find(task.token);
-  if (!open) return;
-  if (task.kind == Timers::Task::Kind::kFinalAnswer) {
-    open->deadline_timer = 0;
-    if (!open->answered()) {
-      respond(*open, kFailedReply, Reason::kDeadline);
-      report_disconnect(*open);  // the module would keep the request otherwise
-    }
-    return;
-  }
-  if (task.kind == Timers::Task::Kind::kStreamBegin) {
-    begin_stream(*open);
-    return;
-  }
-  bool all = task.kind == Timers::Task::Kind::kDeadline;
-  if (all) open->deadline_timer = 0;
-  for (std::size_t k = 0; k < open->attempts.size(); ++k) {
-    Attempt& a = open->attempts[k];
-    int attempt = static_cast<int>(k);
-    if (!a.in_flight || attempt == open->streaming_attempt || (!all && attempt != task.attempt))
-      continue;
-    // Where hedging is not allowed the next attempt waits until this one is over, and it is not
-    // over while its connection stays open for others.
-    bool alone = all || deps_.config.settings.may_hedge;
-    if (!alone && !deps_.servers.may_abandon(a.server, open->id, attempt)) continue;
-    Status status = deps_.servers.cancel(a.server, open->id, attempt);
-    record_event(Kind::kCancelled, open->id, attempt, 0, static_cast<std::int64_t>(status), {},
-                 Reason::kDeadline);
-    report_outcome(*open, attempt,
-                   status == Status::NotSent ? Status::ConnectFailed : Status::Timeout, nullptr);
-  }
-  if (all && !open->answered())
-    open->deadline_timer =
-        deps_.timers.set(deps_.io.now() + kFinalAnswerGrace,
-                         {.kind = Timers::Task::Kind::kFinalAnswer, .token = open->id});
-}
-
 void RequestCore::report_outcome(OpenRequest& open, int attempt, Status status, Answer* answer) {
   Attempt& a = open.attempt(attempt);
   a.in_flight = false;
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -106,6 +106,8 @@
   const Reply& reply_without_room(const OpenRequest& open) const;
   bool within_retry_budget(OpenRequest& open);
   void begin_stream(OpenRequest& open);
+  void end_timed_out(OpenRequest& open, int attempt);
+  void end_at_time_limit(OpenRequest& open, int attempt);
   void end_stream(OpenRequest& open, bool whole);
   void report_outcome(OpenRequest& open, int attempt, Status status, Answer* answer);
   void report_disconnect(OpenRequest& open);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -156,6 +156,7 @@
       return;
     }
     partial_ += static_cast<std::size_t>(sent);
+    last_written_at_ = side_.io_.now();
     record_started();
     while (sent_ < entries_.size() && partial_ >= entries_[sent_].size) {
       QueuedAttempt& e = entries_[sent_];
@@ -267,13 +268,16 @@
   if (!e.live && abandoned()) side_.close(*this, CloseReason::kAbandoned);
 }
 
-ServerSide::AnswerState ServerConnection::answer_state() const {
+ServerSide::AttemptProgress ServerConnection::progress_of(std::size_t index) const {
+  ServerSide::AttemptProgress progress;
+  if (index == sent_ && partial_ > 0)
+    progress.being_written = side_.io_.now() - last_written_at_ <= core::kRequestPause;
+  if (index > 0 || !reader_.in_answer()) return progress;
   const Answer* head = reader_.value_head();
-  ServerSide::AnswerState state;
-  state.begun = reader_.in_answer();
-  state.long_value = head && head->length > protocol::kMaxValueBytes && !streaming_;
-  state.bytes = progress_.bytes();
-  return state;
+  progress.answer_begun = true;
+  progress.long_value = head && head->length > protocol::kMaxValueBytes && !streaming_;
+  progress.answer_bytes = progress_.bytes();
+  return progress;
 }
 
 void ServerConnection::forward(std::string_view piece) {
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -69,8 +69,8 @@
   /// Ends the attempts at the back that are entirely unwritten and were queued before `since`.
   void drop_unsent(Micros since);
 
-  /// What has come of the answer to the first attempt.
-  ServerSide::AnswerState answer_state() const;
+  /// How far the attempt at this index is.
+  ServerSide::AttemptProgress progress_of(std::size_t index) const;
   /// Established, with no attempt on it.
   bool idle() const { return !connecting_ && entries_.empty(); }
   /// Whether a part of the entry at this index is written.
@@ -123,6 +123,7 @@
 
   std::string unconfirmed_value_;  // its first bytes, before it is passed on
   core::AnswerProgress progress_;  // of the answer that is being read
+  Micros last_written_at_ = 0;
 };
 
 }  // namespace violetusher::net
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -230,15 +230,15 @@
   return Status::Cancelled;
 }
 
-ServerSide::AnswerState ServerSide::answer_state(const std::string& server, RequestId id,
-                                                 int attempt) {
+ServerSide::AttemptProgress ServerSide::progress_of(const std::string& server, RequestId id,
+                                                    int attempt) {
   auto [c, index] = find(server, id, attempt);
-  return c && index == 0 ? c->answer_state() : AnswerState();
+  return c ? c->progress_of(index) : AttemptProgress();
 }
 
 bool ServerSide::begin_stream(const std::string& server, RequestId id, int attempt) {
   auto [c, index] = find(server, id, attempt);
-  if (!c || index != 0 || !c->answer_state().long_value) return false;
+  if (!c || !c->progress_of(index).long_value) return false;
   c->begin_stream();
   return true;
 }
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -84,13 +84,14 @@
   bool may_abandon(const std::string& server, RequestId id, int attempt);
   /// Abandons an attempt: NotSent if no whole attempt was sent, Cancelled if it may have run.
   Status cancel(const std::string& server, RequestId id, int attempt);
-  /// What has come of an attempt's answer.
-  struct AnswerState {
-    bool begun = false;
+  /// How far an attempt is.
+  struct AttemptProgress {
+    bool being_written = false;  ///< the server has just taken a part of its request
+    bool answer_begun = false;
     bool long_value = false;  ///< its head has come, and it can be streamed
-    std::size_t bytes = 0;
+    std::size_t answer_bytes = 0;
   };
-  AnswerState answer_state(const std::string& server, RequestId id, int attempt);
+  AttemptProgress progress_of(const std::string& server, RequestId id, int attempt);
   /// Streams a long value from now on, however little of it has come; returns false if the attempt
   /// receives none. Calls the handler.
   bool begin_stream(const std::string& server, RequestId id, int attempt);
