Giving up a partly written request no longer ends the answers before it

What callers saw: on a connection with several attempts, an answer that was awaited or had begun was cut off, as a request behind it was given up (its client left, its time was over, another attempt had won) while its server was still reading it.

Cause: ServerSide::cancel closed the connection of a partly written request whatever else was on it, so that the rest would not be sent after the request's end.

Now nothing more is written there: the partly written request stays half a command, which a server never begins, those behind it fail as never sent and can go elsewhere, those before it get their answers, and then the connection is closed.

Evidence: SharedConnection.AnAnswerThatHasBegunOutlivesAPartlyWrittenRequestBehindIt, simulated sockets: failed before (connection closed, the first client's request ended), passes now.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -134,8 +134,15 @@
   size = bytes.size();
 }
 
+void ServerConnection::stop_writing() {
+  write_stopped_ = draining_ = true;
+  entries_.erase(sent_);
+  partial_ = 0;
+  drop_unsent(side_.io_.now() + 1);
+}
+
 void ServerConnection::flush() {
-  if (connecting_) return;
+  if (connecting_ || write_stopped_) return;
   refresh_unsent();
   while (sent_ < entries_.size()) {
     iovec parts[64];
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -57,6 +57,9 @@
   void retry_dial();
   /// Writes the queued attempts.
   void flush();
+  /// Gives up the attempt that is partly written: its rest would send the request after its end.
+  /// Nothing more is written; those behind it fail, those before it get their answers.
+  void stop_writing();
   /// Queues an attempt behind all others. Nothing of it is written before flush().
   void queue(RequestId id, int attempt, const Command& command, Micros deadline,
              Micros send_before);
@@ -100,7 +103,8 @@
   std::size_t sent_ = 0;                  // entries that are written completely
   std::size_t partial_ = 0;               // bytes of the next entry that are written
   bool connecting_ = true;
-  bool draining_ = false;  // takes no new attempts; closes after its last answer
+  bool draining_ = false;       // takes no new attempts; closes after its last answer
+  bool write_stopped_ = false;  // within a request: see stop_writing()
   bool dirty_ = false;
   bool closed_ = false;
   bool has_answered_ = false;  // has received an answer before
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -211,13 +211,13 @@
   bool partly_written = index == c->sent_;
   c->report_interruption(index,
                          partly_written ? CloseReason::kPartialRequest : CloseReason::kAbandoned);
-  e.live = false;
-  e.since = io_.now();
   if (partly_written) {
-    // Writing the rest would send the request after its end.
-    close(*c, CloseReason::kPartialRequest);
+    c->stop_writing();
+    if (c->abandoned()) close(*c, CloseReason::kPartialRequest);
     return Status::NotSent;
   }
+  e.live = false;
+  e.since = io_.now();
   // Only closing the connection tells the server that nobody waits any more, so that it may drop
   // what it has not started. With many clients that leave early, abandoned attempts filled the
   // servers. The price is a new connection, some milliseconds of the server's work, which is wasted
--- a/tests/net/core_fixture.hpp
+++ b/tests/net/core_fixture.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstring>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,6 +24,7 @@
     int reads = 0;
     bool shut = false;     ///< the router has shut down its sending side
     bool blocked = false;  ///< takes no output
+    std::size_t room = std::numeric_limits<std::size_t>::max();  ///< output it still takes
     bool ended = false, open = true, dialled = true;
     Watch::Target* target = nullptr;
     bool reading = false, writing = false;
@@ -75,11 +77,14 @@
     return static_cast<ssize_t>(count);
   }
   ssize_t send(int socket, const iovec* parts, std::size_t count) override {
-    if (ends[socket].blocked) return kAgain;
+    End& e = ends[socket];
+    if (e.blocked || e.room == 0) return kAgain;
     ssize_t put = 0;
     for (std::size_t k = 0; k < count; ++k) {
-      ends[socket].out.append(static_cast<const char*>(parts[k].iov_base), parts[k].iov_len);
-      put += static_cast<ssize_t>(parts[k].iov_len);
+      std::size_t size = std::min(parts[k].iov_len, e.room);
+      e.out.append(static_cast<const char*>(parts[k].iov_base), size);
+      e.room -= size;
+      put += static_cast<ssize_t>(size);
     }
     return put;
   }
--- /dev/null
+++ b/tests/net/shared_connection_test.cpp
@@ -0,0 +1,82 @@
+// Attempts that share a connection to a server: giving up one of them leaves the others alone.
+#include "core_fixture.hpp"
+
+namespace violetusher::net::test {
+namespace {
+
+constexpr Micros kLongAgo = 2 * kSecond;
+
+/// One connection to each server, and two clients with a request each at the same server.
+struct SharedConnection : ::testing::Test, CoreFixture {
+  SharedConnection() : CoreFixture({100, 1u << 20}, {}, 1) {}
+
+  int client_with(const std::string& command) {
+    int number = client();
+    receive(number, command);
+    deliver_events();
+    return number;
+  }
+  void establish() {
+    server = io.dialled.back();
+    io.ready(server, Watch::kWritable);
+    flush();
+  }
+  void answer(const std::string& text) {
+    io.ends[server].in += text;
+    io.ready(server, Watch::kReadable);
+    flush();
+  }
+  /// The client leaves, and the module cancels its attempt.
+  void leave(int client, RequestId request) {
+    io.ends[client].ended = true;
+    io.ready(client, Watch::kReadable | Watch::kPeerEnded);
+    core.cancel({request, 0});
+    flush();
+    deliver_events();
+  }
+  void sweep_servers() { servers.update_hosts(config.initial_hosts); }
+
+  int server = 0;
+};
+
+/// Guards against closing a connection under the answer to another request when a request that its
+/// server reads slowly is given up.
+TEST_F(SharedConnection, AnAnswerThatHasBegunOutlivesAPartlyWrittenRequestBehindIt) {
+  int first = client_with(read_command("a"));
+  int second = client_with(write_command("put", "b", "1500", std::string(1000, 'v')));
+  int third = client_with(read_command("c"));
+  core.send({1, "s-0", 0});
+  establish();
+  io.ends[server].room = 300;
+  core.send({2, "s-0", 0});
+  core.send({3, "s-0", 0});
+  flush();
+  answer("VA 5 Oa h1\r\npr");
+  std::size_t written = io.ends[server].out.size();
+  leave(second, 2);
+  EXPECT_TRUE(io.ends[server].open);
+  io.ends[server].room = 100'000;
+  io.ready(server, Watch::kWritable);
+  flush();
+  EXPECT_EQ(io.ends[server].out.size(), written);  // half a command is never finished
+  answer("ice\r\n");
+  EXPECT_EQ(io.ends[first].out, "VA 5 Oa\r\nprice\r\n");
+  EXPECT_FALSE(io.ends[server].open);
+  EXPECT_FALSE(core.table().size() == 0);  // the third was never sent and can go elsewhere
+  EXPECT_TRUE(io.ends[third].out.empty());
+}
+
+TEST_F(SharedConnection, IsClosedOnceNobodyWaitsAndTheServerIsSilent) {
+  int first = client_with(read_command("a"));
+  int second = client_with(read_command("b", "k2", "3000"));
+  core.send({1, "s-0", 0});
+  establish();
+  core.send({2, "s-0", 0});
+  flush();
+  leave(first, 1);
+  leave(second, 2);
+  EXPECT_FALSE(io.ends[server].open);
+}
+
+}  // namespace
+}  // namespace violetusher::net::test
