A request is not ended because the one before it on its connection was abandoned

What callers saw: a request that waited behind another one on a connection was reset, as nobody waited for the other any more and the server had said nothing for a second.

Cause: the second of patience for abandoned answers, which keeps a connection for reuse, was applied to connections on which somebody still waited. A server that needs over a second for the first request is slow, not broken.

Now it applies only where nobody waits. Requests behind it have time limits and hedges of their own.

Evidence: SharedConnection.ARequestBehindAnAbandonedOneIsWaitedFor failed before, passes now; IsClosedOnceNobodyWaitsAndTheServerIsSilent holds what the limit is for.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -349,8 +349,8 @@
 std::optional<CloseReason> ServerConnection::timed_out(Micros now) const {
   if (entries_.empty()) return std::nullopt;
   const QueuedAttempt& head = entries_.front();
-  if (!head.live && now - std::max(head.since, last_active_at_) > kAbandonedAnswerTimeout)
-    return CloseReason::kSilent;
+  bool silent = now - std::max(head.since, last_active_at_) > kAbandonedAnswerTimeout;
+  if (!head.live && silent && abandoned()) return CloseReason::kSilent;
   if (receiving() && progress_.timed_out(now) && !may_have_ended()) return CloseReason::kNoProgress;
   return std::nullopt;
 }
--- a/tests/net/shared_connection_test.cpp
+++ b/tests/net/shared_connection_test.cpp
@@ -66,6 +66,22 @@
   EXPECT_TRUE(io.ends[third].out.empty());
 }
 
+/// Guards against ending a request because nobody waits any more for the one before it.
+TEST_F(SharedConnection, ARequestBehindAnAbandonedOneIsWaitedFor) {
+  int first = client_with(read_command("a"));
+  int second = client_with(read_command("b", "k2", "3000"));
+  core.send({1, "s-0", 0});
+  establish();
+  core.send({2, "s-0", 0});
+  flush();
+  leave(first, 1);
+  io.time += kLongAgo;
+  sweep_servers();
+  EXPECT_TRUE(io.ends[server].open);
+  answer("VA 5 Oa h1\r\nprice\r\nVA 5 Ob h1\r\nprice\r\n");
+  EXPECT_EQ(io.ends[second].out, "VA 5 Ob\r\nprice\r\n");
+}
+
 TEST_F(SharedConnection, IsClosedOnceNobodyWaitsAndTheServerIsSilent) {
   int first = client_with(read_command("a"));
   int second = client_with(read_command("b", "k2", "3000"));
