A request that is given up is not sent on by the system after its end

Cause: the system takes a request of 60 KB at once, whatever its server reads. The router took it for sent, and closing the connection ended nothing: the system goes on sending what it holds, and the server runs the command when its last byte comes. The same holds for a server that was cut off and comes back.

Now a connection that is closed on attempts that are given up is reset if the server's system has not taken all of it (SIOCOUTQ, SO_LINGER 0). What lies unread at the server can't be taken back.

--- a/src/core/guard/server_closes.hpp
+++ b/src/core/guard/server_closes.hpp
@@ -31,6 +31,14 @@
 /// The name as logged and as counted in DUMP.
 const char* name_of(ServerCloseReason reason);
 
+/// Whether the router closes for this reason on attempts that may be unanswered: their requests are
+/// over, whatever the server has read of them.
+constexpr bool gives_up_attempts(ServerCloseReason reason) {
+  return reason == ServerCloseReason::kNoProgress || reason == ServerCloseReason::kSilent ||
+         reason == ServerCloseReason::kAbandoned || reason == ServerCloseReason::kPartialRequest ||
+         reason == ServerCloseReason::kMadeRoom;
+}
+
 /// A close under an attempt that somebody waited for.
 struct InterruptedAttempt {
   RequestId request = 0;
--- a/src/net/io.hpp
+++ b/src/net/io.hpp
@@ -146,6 +146,11 @@
   /// while bytes it sent before are unread. False if that can't be determined now: call again
   /// later.
   virtual bool peer_ended(int socket) = 0;
+  /// Bytes written that the peer's system has not taken yet; 0 if that can't be determined.
+  virtual std::size_t untaken(int) { return 0; }
+  /// Makes close() discard the bytes that the peer's system has not taken, with a reset. Otherwise
+  /// the system goes on sending them after the close.
+  virtual void discard_untaken(int) {}
   /// Shuts down the sending side.
   virtual void shutdown_send(int socket) = 0;
   virtual void close(int socket) = 0;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -277,6 +277,8 @@
   }
   c.entries_.clear();
   c.watch_.reset();
+  // The system would go on sending what the server has not taken, for a request that is over.
+  if (core::gives_up_attempts(reason)) io_.discard_untaken(c.socket_.number());
   c.socket_.reset();
   auto& all = c.pool_.connections;
   auto at = std::find_if(all.begin(), all.end(), [&](const auto& p) { return p.get() == &c; });
--- a/src/net/system_io.cpp
+++ b/src/net/system_io.cpp
@@ -3,8 +3,10 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -324,6 +326,17 @@
   return ready > 0 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR));
 }
 
+std::size_t SystemIo::untaken(int socket) {
+  int bytes = 0;
+  return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+void SystemIo::discard_untaken(int socket) {
+  if (untaken(socket) == 0) return;
+  linger at_once{1, 0};
+  ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 void SystemIo::shutdown_send(int socket) { ::shutdown(socket, SHUT_WR); }
 
 void SystemIo::close(int socket) { ::close(socket); }
--- a/src/net/system_io.hpp
+++ b/src/net/system_io.hpp
@@ -86,6 +86,8 @@
   ssize_t send(int socket, const iovec* parts, std::size_t count) override;
   bool may_have_input(int socket) override;
   bool peer_ended(int socket) override;
+  std::size_t untaken(int socket) override;
+  void discard_untaken(int socket) override;
   void shutdown_send(int socket) override;
   void close(int socket) override;
   std::unique_ptr<Watch> watch(int socket, Watch::Target& target) override;
--- a/tests/daemon/slow_peers_test.cpp
+++ b/tests/daemon/slow_peers_test.cpp
@@ -146,6 +146,68 @@
   expect_values(read_all(), 48'000);
 }
 
+// ---- requests that servers read slowly ----
+
+/// Reads 4 KB every 60 ms: a request of 60 KB takes 0.9 s.
+constexpr PacedServer::Reading kSlowReading{.receive_buffer = 4096, .bytes = 4096, .gap_ms = 60};
+
+std::vector<Piece> store(const ReceivedCommand& c) { return {{0, receipt_answer(c)}}; }
+
+TEST_F(SlowPeers, ARequestThatIsReadSlowlyGetsItsFinalAnswerInTime) {
+  start(store, kSlowReading);
+  for (const char* type : {"put", "pay"}) {
+    for (const TimedAnswer& a : write_all(type, kDeadlineMs, value_of(60'000))) {
+      EXPECT_EQ(a.line.rfind("SERVER_ERROR", 0), 0u) << type << " " << a.line;
+      EXPECT_LE(a.last_byte_ms, kDeadlineMs + kAnswerSlackMs) << type;
+    }
+    sleep_ms(1500);
+    EXPECT_EQ(commands_run(), 0) << type << " " << daemon_->log();
+  }
+}
+
+TEST_F(SlowPeers, AWriteThatMayRunOnceAndIsReadSlowlyIsServedWithinItsTime) {
+  start(store, kSlowReading);
+  EXPECT_EQ(served(write_all("pay", 1000, value_of(30'000))), kRequests) << daemon_->log();
+  EXPECT_EQ(commands_run(), kRequests);
+}
+
+/// Guards against requests that the system still sends after their client has left.
+TEST_F(SlowPeers, ARequestThatIsReadSlowlyEndsWithItsClient) {
+  start(store, kSlowReading);
+  std::vector<std::unique_ptr<Client>> clients;
+  for (const char* type : {"put", "pay"}) {
+    clients.push_back(std::make_unique<Client>(port_));
+    clients.back()->send(write_command(type, std::string("gone-") + type, "900", value_of(60'000)));
+  }
+  sleep_ms(300);
+  clients.clear();
+  sleep_ms(1500);
+  EXPECT_EQ(commands_run(), 0) << daemon_->log();
+}
+
+/// The final answers keep their time through a restart and new settings, and nothing of a request
+/// is sent after it.
+TEST_F(SlowPeers, RequestsThatAreReadSlowlyKeepTheirTimeThroughSignals) {
+  for (int number : {SIGHUP, SIGTERM}) {
+    start(store, kSlowReading);
+    auto pending = std::async(std::launch::async,
+                              [&] { return write_all("pay", kDeadlineMs, value_of(60'000)); });
+    sleep_ms(200);
+    daemon_->signal(number);
+    for (const TimedAnswer& a : pending.get()) {
+      EXPECT_EQ(a.line, "SERVER_ERROR failed") << number;
+      EXPECT_LE(a.last_byte_ms, kDeadlineMs + kAnswerSlackMs) << number;
+    }
+    sleep_ms(1500);
+    EXPECT_EQ(commands_run(), 0) << number << daemon_->log();
+    if (number == SIGTERM) {
+      EXPECT_EQ(daemon_->wait(), 0);
+    }
+    servers_.clear();
+    options_.dials.clear();
+  }
+}
+
 /// What the early end of paused answers was for: a spoilt answer is found out by its pause, and
 /// another server is asked before the caller waits long.
 TEST_F(SlowPeers, SpoiltAnswersOfTwoServersCostAnotherAttemptAndNoMore) {
--- a/tests/net/held_io.hpp
+++ b/tests/net/held_io.hpp
@@ -48,6 +48,8 @@
   }
   bool may_have_input(int socket) override { return io_.may_have_input(socket); }
   bool peer_ended(int socket) override { return io_.peer_ended(socket); }
+  std::size_t untaken(int socket) override { return io_.untaken(socket); }
+  void discard_untaken(int socket) override { io_.discard_untaken(socket); }
   void shutdown_send(int socket) override { io_.shutdown_send(socket); }
   void close(int socket) override { io_.close(socket); }
   std::unique_ptr<net::Watch> watch(int socket, net::Watch::Target& target) override {
