Without second copies, a request that its server reads slowly is not ended by its timeout

What callers saw: writes of 30 KB to servers that read them in 0.4 s were refused or failed, 6 of 12 served; each was given up after the usual time of an answer and begun anew at the next server.

Cause: "written" meant handed to the system, which takes all of a request at once, so the module's time limit of an attempt ran while the server was still reading.

Now RequestCore::end_timed_out asks whether the server's system has taken a part since the last look (every 0.2 s), and ends the attempt only if it has not.

--- a/src/core/attempt/answer_progress.hpp
+++ b/src/core/attempt/answer_progress.hpp
@@ -16,8 +16,8 @@
 /// seconds to write a long value, in pieces of any size.
 constexpr Micros kAnswerProgressTimeout = 4'000'000;
 
-/// A request is being read by its server as long as the server takes a part of it within this time.
-constexpr Micros kRequestPause = 60'000;
+/// A server reads a request as long as it takes a part of it within this time.
+constexpr Micros kRequestPause = 200'000;
 
 /// Follows one answer after the other.
 class AnswerProgress {
--- a/src/net/request_time_limits.cpp
+++ b/src/net/request_time_limits.cpp
@@ -81,9 +81,8 @@
 void RequestCore::end_timed_out(OpenRequest& open, int attempt) {
   Attempt& a = open.attempt(attempt);
   if (!a.in_flight || attempt == open.streaming_attempt) return;
-  auto progress = deps_.servers.progress_of(a.server, open.id, attempt);
-  if (progress.answer_begun) return;
-  if (progress.being_written) {
+  if (deps_.servers.progress_of(a.server, open.id, attempt).answer_begun) return;
+  if (deps_.servers.request_progresses(a.server, open.id, attempt)) {
     a.timeout = deps_.timers.set(
         deps_.io.now() + core::kRequestPause,
         {.kind = Timers::Task::Kind::kAttemptTimeout, .attempt = attempt, .token = open.id});
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -163,7 +163,6 @@
       return;
     }
     partial_ += static_cast<std::size_t>(sent);
-    last_written_at_ = side_.io_.now();
     record_started();
     while (sent_ < entries_.size() && partial_ >= entries_[sent_].size) {
       QueuedAttempt& e = entries_[sent_];
@@ -275,10 +274,15 @@
   if (!e.live && abandoned()) side_.close(*this, CloseReason::kAbandoned);
 }
 
+bool ServerConnection::request_progresses() {
+  std::size_t untaken = side_.io_.untaken(socket_.number());
+  if (partial_ > 0) untaken += entries_[sent_].size - partial_;
+  std::size_t before = std::exchange(untaken_, untaken);
+  return before == 0 ? untaken > 0 : untaken < before;
+}
+
 ServerSide::AttemptProgress ServerConnection::progress_of(std::size_t index) const {
   ServerSide::AttemptProgress progress;
-  if (index == sent_ && partial_ > 0)
-    progress.being_written = side_.io_.now() - last_written_at_ <= core::kRequestPause;
   if (index > 0 || !reader_.in_answer()) return progress;
   const Answer* head = reader_.value_head();
   progress.answer_begun = true;
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -72,6 +72,8 @@
   /// Ends the attempts at the back that are entirely unwritten and were queued before `since`.
   void drop_unsent(Micros since);
 
+  /// Whether the server has taken a part of what was written since the last call, or has begun to.
+  bool request_progresses();
   /// How far the attempt at this index is.
   ServerSide::AttemptProgress progress_of(std::size_t index) const;
   /// Established, with no attempt on it.
@@ -127,7 +129,7 @@
 
   std::string unconfirmed_value_;  // its first bytes, before it is passed on
   core::AnswerProgress progress_;  // of the answer that is being read
-  Micros last_written_at_ = 0;
+  std::size_t untaken_ = 0;        // see request_progresses()
 };
 
 }  // namespace violetusher::net
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -236,6 +236,11 @@
   return c ? c->progress_of(index) : AttemptProgress();
 }
 
+bool ServerSide::request_progresses(const std::string& server, RequestId id, int attempt) {
+  auto [c, index] = find(server, id, attempt);
+  return c && c->started(index) && c->request_progresses();
+}
+
 bool ServerSide::begin_stream(const std::string& server, RequestId id, int attempt) {
   auto [c, index] = find(server, id, attempt);
   if (!c || !c->progress_of(index).long_value) return false;
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -86,12 +86,14 @@
   Status cancel(const std::string& server, RequestId id, int attempt);
   /// How far an attempt is.
   struct AttemptProgress {
-    bool being_written = false;  ///< the server has just taken a part of its request
     bool answer_begun = false;
     bool long_value = false;  ///< its head has come, and it can be streamed
     std::size_t answer_bytes = 0;
   };
   AttemptProgress progress_of(const std::string& server, RequestId id, int attempt);
+  /// Whether the server has taken a part of the attempt's request since the last call, or has begun
+  /// to: it is read slowly.
+  bool request_progresses(const std::string& server, RequestId id, int attempt);
   /// Streams a long value from now on, however little of it has come; returns false if the attempt
   /// receives none. Calls the handler.
   bool begin_stream(const std::string& server, RequestId id, int attempt);
--- a/tests/daemon/slow_peers_test.cpp
+++ b/tests/daemon/slow_peers_test.cpp
@@ -165,6 +165,13 @@
   }
 }
 
+TEST_F(SlowPeers, AWriteThatIsReadSlowlyIsServedWithinItsTime) {
+  options_.may_hedge = false;
+  start(store, kSlowReading);
+  EXPECT_EQ(served(write_all("put", 1000, value_of(30'000))), kRequests) << daemon_->log();
+  EXPECT_EQ(commands_run(), kRequests);
+}
+
 TEST_F(SlowPeers, AWriteThatMayRunOnceAndIsReadSlowlyIsServedWithinItsTime) {
   start(store, kSlowReading);
   EXPECT_EQ(served(write_all("pay", 1000, value_of(30'000))), kRequests) << daemon_->log();
