A client that reads slowly but steadily gets its long value whole

One that takes nothing for 3 s is closed as before. The same for a connection that only waits for its client's end: what it has not taken is waited for like a stalled client's, as a close over unread input would reset it.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -21,11 +21,11 @@
 // client may have connected just before the shutdown, and a close would reset its command. Without
 // a bound it could wait for ever.
 constexpr Micros kFirstCommandGrace = kSecond / 5;
-// A client that reads none of its response for this long is disconnected.
+// A client whose system takes none of its response for this long is disconnected.
 constexpr Micros kStallTimeout = 3 * kSecond;
 // Lingering close: after our FIN the connection is read until the client's FIN, for at most this
 // long and this many bytes. Closing with unread bytes sends a reset, which may destroy the last
-// response on its way.
+// response on its way; what the client has not taken yet is waited for as a stalled client is.
 constexpr Micros kLingerTimeout = kSecond / 2;
 constexpr std::size_t kMaxLingerBytes = 256u << 10;
 // Capacity that an empty output buffer keeps for the next response.
@@ -52,6 +52,15 @@
   if (what & Watch::kReadable) read();
 }
 
+/// A write that succeeds shows too late that the client reads: the system reports room only once
+/// much of a buffer of megabytes is free.
+void ClientConnection::poll_progress() {
+  if (!stalled_since_ && !lingering_) return;
+  std::size_t untaken = side_.io_.untaken(socket_.number());
+  if (untaken < untaken_) (lingering_ ? since_ : stalled_since_) = side_.io_.now();
+  untaken_ = untaken;
+}
+
 void ClientConnection::poll_for_close() {
   if (closed_ || eof_ || reading_ || lingering_ || !side_.io_.peer_ended(socket_.number())) return;
   peer_ended_ = true;
@@ -78,7 +87,7 @@
   }
   Micros now = side_.io_.now();
   if (!in_command()) since_ = now;
-  unparsed_read_at_ = now;
+  last_read_at_ = now;
   std::string_view in(side_.read_buffer_.get(), static_cast<std::size_t>(got));
   if (unparsed_.empty()) {
     parse(in, now);
@@ -151,7 +160,7 @@
 
 void ClientConnection::parse_deferred() {
   std::string_view in = unparsed_;
-  parse(in, unparsed_read_at_);
+  parse(in, last_read_at_);
   if (in.empty())
     std::string().swap(unparsed_);
   else
@@ -236,7 +245,10 @@
       return;
     }
     if (sent < 0) {
-      if (!stalled_since_) stalled_since_ = side_.io_.now();
+      if (!stalled_since_) {
+        stalled_since_ = side_.io_.now();
+        untaken_ = side_.io_.untaken(socket_.number());
+      }
       watch_->write_once();
       break;
     }
@@ -328,6 +340,7 @@
   ++side_.lingering_;
   close_reason_ = reason;
   since_ = side_.io_.now();
+  untaken_ = side_.io_.untaken(socket_.number());
   side_.io_.shutdown_send(socket_.number());
   watch_->read(true);
 }
@@ -341,7 +354,7 @@
 }
 
 bool ClientConnection::timed_out(Micros now) const {
-  if (lingering_) return now - since_ > kLingerTimeout;
+  if (lingering_) return now - since_ > (untaken_ > 0 ? kStallTimeout : kLingerTimeout);
   if (stalled_since_ && now - stalled_since_ > kStallTimeout) return true;
   if (!quiescent()) return false;  // its requests have deadlines of their own
   if (in_command()) return now - since_ > kCommandTimeout;
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -24,6 +24,9 @@
   /// times within a tenth of a second: after that time nothing more may be started for a client
   /// that has closed.
   void poll_for_close();
+  /// Looks whether a client that holds output up has taken a part of it. Call several times within
+  /// the time limits of a stalled client.
+  void poll_progress();
   /// Updates the connection's share of ClientSide::budget_.
   void update_buffered();
   /// Whether a response in this slot could be written at once: those before it are complete, and
@@ -98,12 +101,13 @@
   void start_lingering_close(core::CloseReason reason);
   void update_reading();
 
-  std::string unparsed_;         // bytes read that cannot be parsed yet
-  Micros unparsed_read_at_ = 0;  // when the last of them were read
+  std::string unparsed_;     // bytes read that cannot be parsed yet
+  Micros last_read_at_ = 0;  // when the last bytes were read
   std::string out_;
   std::size_t out_at_ = 0;
   std::size_t lingered_bytes_ = 0;  // bytes discarded since our FIN
-  Micros stalled_since_ = 0;
+  Micros stalled_since_ = 0;        // since when the client has taken no output; 0 = it takes it
+  std::size_t untaken_ = 0;         // output that its system had not taken at the last look
 };
 
 }  // namespace violetusher::net
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -198,6 +198,7 @@
     if (k >= connections_.size()) continue;
     connections_[k]->poll_for_close();  // may close this and other connections
     if (k >= connections_.size()) continue;
+    connections_[k]->poll_progress();
     if (connections_[k]->timed_out(now))
       connections_[k]->close_timed_out();
     else if (draining_)
