A client that takes seconds to write a value is served as long as it goes on

What callers saw: a write of 60 KB that its client wrote at 16 KB/s was closed on after 2.4 s.

The bound is meant for clients that stop half way, which are owed a close within 3 s.

Now the value of a write may take up to 10 s as long as no pause in it is longer than 0.5 s. A head has its 2.4 s as before (2 s are owed), and so has a value that stops: 2.4 s, or 0.5 s after its last byte, is within the 3 s.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -14,6 +14,10 @@
 // of the accept. DAYS requires an error or a close within 3 s of connecting, and lets a client take
 // 2 s to send a command head.
 constexpr Micros kCommandTimeout = 2 * kSecond + 2 * kSecond / 5;
+// The value of a write may take longer as long as it comes without a pause: clients need seconds
+// to write. One that stops half way is closed within the same 3 s.
+constexpr Micros kValuePauseTimeout = kSecond / 2;
+constexpr Micros kValueTimeout = 10 * kSecond;
 // A connection with no request open is closed after this time, the least that DAYS allows. Kept
 // longer, connections of clients that ask once and never close use up the limit on connections.
 constexpr Micros kIdleTimeout = 2 * kSecond;
@@ -353,11 +357,17 @@
   watch_->read(should_read);
 }
 
+bool ClientConnection::command_timed_out(Micros now) const {
+  Micros age = now - since_;
+  if (age <= kCommandTimeout || !reader_.in_value()) return age > kCommandTimeout;
+  return now - last_read_at_ > kValuePauseTimeout || age > kValueTimeout;
+}
+
 bool ClientConnection::timed_out(Micros now) const {
   if (lingering_) return now - since_ > (untaken_ > 0 ? kStallTimeout : kLingerTimeout);
   if (stalled_since_ && now - stalled_since_ > kStallTimeout) return true;
   if (!quiescent()) return false;  // its requests have deadlines of their own
-  if (in_command()) return now - since_ > kCommandTimeout;
+  if (in_command()) return command_timed_out(now);
   return now - last_active_at_ > (command_received_ ? kIdleTimeout : kCommandTimeout);
 }
 
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -99,6 +99,7 @@
   void collect_output();
   void resume_stream();
   void start_lingering_close(core::CloseReason reason);
+  bool command_timed_out(Micros now) const;
   void update_reading();
 
   std::string unparsed_;     // bytes read that cannot be parsed yet
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -42,6 +42,8 @@
   void set_max_kept_value(std::size_t bytes) { max_kept_value_ = bytes; }
   /// True while a command is incomplete.
   bool in_command() const { return !partial_.empty() || state_ != State::Line; }
+  /// True while the value of a command is incomplete.
+  bool in_value() const { return state_ == State::Value; }
   /// Bytes buffered for an incomplete command, with room for the rest of its value.
   std::size_t buffered() const {
     bool keeps_value = state_ == State::Value && !pending_.value_discarded;
--- a/tests/daemon/slow_clients_test.cpp
+++ b/tests/daemon/slow_clients_test.cpp
@@ -62,5 +62,35 @@
   EXPECT_EQ(read_slowly(client, rest, 600'000), rest) << daemon_->log();
 }
 
+TEST_F(SlowClients, AWriterThatTakesSecondsForItsValueIsServed) {
+  start([](const ReceivedCommand& c) {
+    return std::vector<Piece>{{0, "HD O" + id_of(c.line) + " cR\r\n"}};
+  });
+  Client client(port_);
+  std::string command = write_command("put", "w1", "1000", std::string(60'000, 'v'));
+  for (std::size_t at = 0; at < command.size(); at += 1000) {
+    client.send(command.substr(at, 1000));
+    sleep_ms(60);
+  }
+  EXPECT_EQ(client.line(), "HD Ow1 cR") << daemon_->log();
+}
+
+/// PROTOCOL: clients that stop in the middle of a request get their error or close within 3 s.
+TEST_F(SlowClients, AWriterThatStopsHalfWayIsClosedWithinThreeSeconds) {
+  start({}, 0);
+  std::string command = write_command("put", "w1", "1000", std::string(60'000, 'v'));
+  for (std::size_t size : {std::size_t{20}, command.size() / 2, command.size() - 1}) {
+    Client client(port_);
+    SteadyTime begun = std::chrono::steady_clock::now();
+    for (std::size_t at = 0; at < size; at += size / 20 + 1) {
+      client.send(command.substr(at, std::min(size - at, size / 20 + 1)));
+      sleep_ms(100);
+    }
+    client.read_all();
+    EXPECT_TRUE(client.ended());
+    EXPECT_LE(ms_between(begun, std::chrono::steady_clock::now()), 3000) << size;
+  }
+}
+
 }  // namespace
 }  // namespace violetusher::net::test
