An id that comes again does not run twice, at the other process of a replacement either

Cause: an id was known only as long as its request was in the table of open requests: not after its client had left, and not at the other process.

A second request with the id is answered "failed" and not sent. A claim is given back if no attempt can have run, so an id may come again after a refusal. Times are those of the machine's monotonic clock.

Evidence: SlowClients.AnIdThatComesAgainAfterItsClientLeftRunsOnce and ...AtTheOtherProcessOfA- ReplacementRunsOnce failed before (10 and 40 commands run, of 5 and 20 ids), pass now.

--- a/src/core/flight/record.hpp
+++ b/src/core/flight/record.hpp
@@ -56,8 +56,9 @@
   kClientLeft,         ///< the client closed its sending side
   kShutdown,           ///< the router shut down
   kBadCommand,         ///< the command is invalid
+  kDuplicateId,        ///< a request with its id has been sent to a server already
 };
-constexpr std::uint8_t kMaxReason = static_cast<std::uint8_t>(Reason::kBadCommand);
+constexpr std::uint8_t kMaxReason = static_cast<std::uint8_t>(Reason::kDuplicateId);
 
 /// Names as shown in recordings and logs; "unknown" for values out of range.
 const char* name_of(Kind kind);
--- a/src/net/io.hpp
+++ b/src/net/io.hpp
@@ -120,6 +120,8 @@
   /// the clock is read once.
   virtual Micros now() const = 0;
   virtual void update_time() = 0;
+  /// The same without its origin: alike in all processes of the machine, whatever its wall clock.
+  virtual Micros uptime() const { return now(); }
 
   /// Listens on `address`; on failure returns an empty Socket and sets `error`.
   virtual Socket listen(const sockaddr_in& address, std::string& error) = 0;
--- a/src/net/request_actions.cpp
+++ b/src/net/request_actions.cpp
@@ -54,11 +54,12 @@
   if (!open) return;  // the request is released already: see release_if_done
   int attempt = static_cast<int>(open->attempts.size());
   Micros now = deps_.io.now();
-  bool budget_spent = open->traffic && !open->answered() && !within_retry_budget(*open);
+  bool not_allowed =
+      !open->answered() && (!claim_id(*open) || (open->traffic && !within_retry_budget(*open)));
   open->attempts.push_back({.server = action.server, .started_at = now});
   // The request may have been answered before the module was notified of that.
-  if (budget_spent || open->answered() || now >= open->deadline) {
-    if (!budget_spent && open->answered())
+  if (not_allowed || open->answered() || now >= open->deadline) {
+    if (!not_allowed && open->answered())
       record_event(Kind::kAttemptAfterAnswer, action.id, attempt, 0, 0, action.server);
     report_outcome(*open, attempt, Status::NotSent, nullptr);
     return;
@@ -74,6 +75,25 @@
                      action.send_before);
 }
 
+/// Claims the id of a request that no server keeps from running twice, before its first attempt. If
+/// another request with this id may have run, lately or at the other process of a replacement, the
+/// request gets its final response now: failed, as a retry would not be harmless.
+bool RequestCore::claim_id(OpenRequest& open) {
+  if (!open.attempts.empty()) return true;
+  using violetusher::Effect;
+  for (const auto& type : deps_.config.settings.classes) {
+    if (type.name != open.command.type) continue;
+    bool repeats_are_dropped =
+        type.effect == Effect::Keyed && type.group == violetusher::Group::All;
+    if (type.effect == Effect::Repeatable || repeats_are_dropped) return true;
+  }
+  open.claims_id = deps_.claims.claim(deps_.io.uptime(), open.command.id);
+  if (open.claims_id) return true;
+  respond(open, kFailedReply, Reason::kDuplicateId);
+  report_disconnect(open);
+  return false;
+}
+
 /// Asks the retry budget for another attempt. If it denies one and no attempt is in flight, the
 /// request gets its final response now; it is rejected as busy only where trying again is harmless.
 bool RequestCore::within_retry_budget(OpenRequest& open) {
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -368,6 +368,9 @@
   deps_.timers.cancel(open.deadline_timer);
   deps_.timers.cancel(open.stream_timer);
   for (Timers::Handle& timer : open.module_timers) deps_.timers.cancel(timer);
+  bool may_have_run = std::any_of(open.attempts.begin(), open.attempts.end(),
+                                  [](const Attempt& a) { return a.may_have_run; });
+  if (open.claims_id && !may_have_run) deps_.claims.release(open.command.id);
   record_event(Kind::kReleased, open.id);
   deps_.pools.end_request(open.module, deps_.io.now());
   table_.erase(open);
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -7,6 +7,7 @@
 
 #include "client_side.hpp"
 #include "core/flight/ring.hpp"
+#include "core/guard/request_claims.hpp"
 #include "core/ops/metrics.hpp"
 #include "log.hpp"
 #include "module_feed.hpp"
@@ -35,6 +36,7 @@
     core::ops::Metrics& metrics;
     core::InvariantChecker& invariants;
     Log& log;
+    core::RequestClaims& claims;
   };
   RequestCore(const Dependencies& dependencies, RequestTable::Bounds bounds);
 
@@ -105,6 +107,7 @@
   void respond_with(OpenRequest& open, const Answer& answer);
   const Reply& reply_without_room(const OpenRequest& open) const;
   bool within_retry_budget(OpenRequest& open);
+  bool claim_id(OpenRequest& open);
   void begin_stream(OpenRequest& open);
   void end_timed_out(OpenRequest& open, int attempt);
   void end_at_time_limit(OpenRequest& open, int attempt);
--- a/src/net/request_table.cpp
+++ b/src/net/request_table.cpp
@@ -20,6 +20,7 @@
   undelivered_events = 0;
   attempts.clear();
   streaming_attempt = -1;
+  claims_id = false;
   module = 0;
   traffic.reset();
   ticket = {};
--- a/src/net/request_table.hpp
+++ b/src/net/request_table.hpp
@@ -35,7 +35,8 @@
   // Of a streamed response: it counts as sent, and the rest of its value is pending.
   int streaming_attempt = -1;  ///< the attempt that delivers it; -1 if none
   PendingResponse stream;
-  std::uint32_t module = 0;                      ///< its number; see PoolSet
+  bool claims_id = false;    ///< no other request with its id may be sent to a server
+  std::uint32_t module = 0;  ///< its number; see PoolSet
   std::shared_ptr<core::TrafficPolicy> traffic;  ///< null if no operator file is in use
   core::TrafficPolicy::Ticket ticket;
   Timers::Handle deadline_timer = 0;
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "claims_memory.hpp"
 #include "client_side.hpp"
 #include "config.hpp"
 #include "core/audit/activity_recorder.hpp"
@@ -133,6 +134,8 @@
   core::flight::Recorder recorder_;
   core::ops::Metrics metrics_;
   core::InvariantChecker invariants_;
+  ClaimsMemory claims_memory_;
+  core::RequestClaims claims_;
   Timers timers_;
   ModuleFeed feed_;
   PoolSet pools_;
--- a/src/net/system_io.hpp
+++ b/src/net/system_io.hpp
@@ -53,6 +53,7 @@
  public:
   Clock() : origin_(unix_now() - monotonic_now()) {}
   Micros now() const { return origin_ + monotonic_now(); }
+  Micros origin() const { return origin_; }
 
  private:
   static Micros monotonic_now() {
@@ -76,6 +77,7 @@
 
   Micros now() const override { return now_; }
   void update_time() override { now_ = clock_.now(); }
+  Micros uptime() const override { return now_ - clock_.origin(); }
   Socket listen(const sockaddr_in& address, std::string& error) override;
   Socket adopt(int descriptor, std::string& error) override;
   std::uint16_t port(int listener) const override;
--- a/tests/daemon/paced_server.hpp
+++ b/tests/daemon/paced_server.hpp
@@ -65,9 +65,12 @@
     port_ = ntohs(a.sin_port);
     thread_ = std::thread([this] { serve(); });
   }
-  ~PacedServer() {
+  ~PacedServer() { stop(); }
+  /// Ends the server as a crash does: its connections are reset.
+  void stop() {
     stop_ = true;
-    thread_.join();
+    if (thread_.joinable()) thread_.join();
+    listener_.reset();
   }
   std::uint16_t port() const { return port_; }
   std::string address() const { return loopback_text(port_); }
@@ -113,11 +116,14 @@
         write(peer);
       }
       peers.remove_if([](const Peer& peer) { return peer.ended; });
-      if (polls[0].revents) {
+      if (polls[0].revents & POLLIN) {
         Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
         if (fd) peers.emplace_back().fd = std::move(fd);
       }
     }
+    linger at_once{1, 0};
+    for (Peer& peer : peers)
+      ::setsockopt(peer.fd.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
   }
 
   void read(Peer& peer) {
--- a/tests/daemon/slow_clients_test.cpp
+++ b/tests/daemon/slow_clients_test.cpp
@@ -92,5 +92,115 @@
   }
 }
 
+// ---- ids that come again ----
+
+std::vector<Piece> store_late(const ReceivedCommand& c) {
+  return {{300, "HD O" + id_of(c.line) + " cR\r\n"}};
+}
+
+int most_runs_of_an_id(const std::vector<std::unique_ptr<PacedServer>>& servers) {
+  std::map<std::string, int> runs;
+  for (const auto& server : servers)
+    for (const ReceivedCommand& c : server->commands()) ++runs[id_of(c.line)];
+  int most = 0;
+  for (const auto& [id, count] : runs) most = std::max(most, count);
+  return most;
+}
+
+TEST_F(SlowClients, AnIdThatComesAgainAfterItsClientLeftRunsOnce) {
+  start(store_late);
+  for (int k = 0; k < 5; ++k) {
+    std::string command = write_command("pay", "again" + std::to_string(k), "900");
+    {
+      Client leaver(port_);
+      leaver.send(command);
+      sleep_ms(50);
+    }
+    sleep_ms(100);
+    EXPECT_EQ(ask(port_, command).line, "SERVER_ERROR failed");
+  }
+  EXPECT_EQ(commands_run(), 5u);
+}
+
+/// Both processes of a replacement take clients from one listening socket for a while.
+TEST_F(SlowClients, AnIdThatComesAgainAtTheOtherProcessOfAReplacementRunsOnce) {
+  for (int k = 0; k < 5; ++k) servers_.push_back(std::make_unique<PacedServer>(store_late));
+  for (const auto& server : servers_) options_.dials.push_back(server->address());
+  folder_.write("config.json", config_text(options_));
+  Fd listener(::socket(AF_INET, SOCK_STREAM, 0));
+  sockaddr_in a = loopback(0);
+  ::bind(listener.get(), reinterpret_cast<sockaddr*>(&a), sizeof a);
+  ::listen(listener.get(), 64);
+  socklen_t size = sizeof a;
+  ::getsockname(listener.get(), reinterpret_cast<sockaddr*>(&a), &size);
+  std::uint16_t port = ntohs(a.sin_port);
+  Daemon::Options options;
+  options.environment = {"NODE_ACCEPT_FD=" + std::to_string(listener.get())};
+  Daemon one(folder_, options), other(folder_, options);
+  ASSERT_NE(one.port(), 0) << one.log();
+  ASSERT_NE(other.port(), 0) << other.log();
+  int served = 0;
+  for (int k = 0; k < 20; ++k) {
+    std::string command = write_command("pay", "same" + std::to_string(k), "900");
+    for (const TimedAnswer& answer : ask_all(port, {command, command, command, command}))
+      served += answer.served();
+  }
+  EXPECT_EQ(served, 20);
+  EXPECT_EQ(commands_run(), 20u);
+  EXPECT_EQ(most_runs_of_an_id(servers_), 1);
+}
+
+/// A request that no server has executed may come again under its id.
+TEST_F(SlowClients, AnIdThatComesAgainAfterARefusalIsServed) {
+  std::atomic<bool> full{true};
+  start([&](const ReceivedCommand& c) {
+    return std::vector<Piece>{
+        {0, full ? "SERVER_ERROR busy\r\n" : "HD O" + id_of(c.line) + " cR\r\n"}};
+  });
+  std::string command = write_command("pay", "refused", "900");
+  EXPECT_EQ(ask(port_, command).line, "SERVER_ERROR busy");
+  full = false;
+  EXPECT_EQ(ask(port_, command).line, "HD Orefused cR");
+}
+
+// ---- servers replaced at their address ----
+
+/// Guards against taking a new process at the address of one that has gone for the old one.
+TEST_F(SlowClients, AServerReplacedAtItsAddressRunsNothingTwice) {
+  auto store = [](const ReceivedCommand& c) {
+    return std::vector<Piece>{{50, "HD O" + id_of(c.line) + " cR\r\n"}};
+  };
+  start(store);
+  std::atomic<bool> stop{false};
+  std::atomic<int> asked{0}, served{0};
+  std::vector<std::thread> writers;
+  for (int w = 0; w < 6; ++w)
+    writers.emplace_back([&, w] {
+      for (int k = 0; !stop; ++k) {
+        std::string id = "w" + std::to_string(w) + "-" + std::to_string(k);
+        TimedAnswer answer = ask(port_, write_command("pay", id, "900"));
+        ++asked;
+        served += answer.served();
+        EXPECT_FALSE(answer.line.empty()) << id;
+      }
+    });
+  std::vector<std::unique_ptr<PacedServer>> gone;
+  for (int k = 0; k < 3; ++k) {  // at once, and after a gap
+    sleep_ms(400);
+    std::uint16_t port = servers_[static_cast<std::size_t>(k)]->port();
+    servers_[static_cast<std::size_t>(k)]->stop();
+    gone.push_back(std::move(servers_[static_cast<std::size_t>(k)]));
+    sleep_ms(k * 150);
+    servers_[static_cast<std::size_t>(k)] =
+        std::make_unique<PacedServer>(store, PacedServer::Reading(), port);
+  }
+  sleep_ms(500);
+  stop = true;
+  for (std::thread& writer : writers) writer.join();
+  for (auto& server : gone) servers_.push_back(std::move(server));
+  EXPECT_EQ(most_runs_of_an_id(servers_), 1);
+  EXPECT_GE(served * 10, asked * 5) << daemon_->log();
+}
+
 }  // namespace
 }  // namespace violetusher::net::test
--- a/tests/net/core_fixture.hpp
+++ b/tests/net/core_fixture.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "net/claims_memory.hpp"
 #include "net/request_core.hpp"
 #include "net_support.hpp"
 
@@ -126,9 +127,9 @@
   explicit CoreFixture(RequestTable::Bounds bounds = {100, 1u << 20},
                        ClientSide::Limits client_limits = {}, std::size_t max_open = 2,
                        std::size_t server_buffer_bytes = 8u << 20)
-      : core(
-            {io, config, pools, timers, feed, clients, servers, recorder, metrics, invariants, log},
-            bounds),
+      : core({io, config, pools, timers, feed, clients, servers, recorder, metrics, invariants, log,
+              claims},
+             bounds),
         clients(io, core, client_limits, &invariants),
         servers(io, core,
                 {.table = {.max_open = max_open, .mean_idle = 2, .max_idle_time = 9 * kSecond},
@@ -191,6 +192,8 @@
     std::vector<std::string> lines;
   } log_sink;
   Log log{log_sink};
+  ClaimsMemory claims_memory{""};
+  core::RequestClaims claims{claims_memory.slots()};
   RequestCore core;
   ClientSide clients;
   ServerSide servers;
--- a/tests/net/held_io.hpp
+++ b/tests/net/held_io.hpp
@@ -24,6 +24,7 @@
 
   Micros now() const override { return io_.now(); }
   void update_time() override { io_.update_time(); }
+  Micros uptime() const override { return io_.uptime(); }
   Socket listen(const sockaddr_in& address, std::string& error) override {
     return io_.listen(address, error);
   }
