Answers that begin and pause are no sign of load for admission control

Cause: an answer after its class's objective counts as bad, and many bad results mean overload to admission control.

Now a late or failed result is left out of the count if the answer had begun and paused.

PausedAnswers.LateAnswersAfterAPauseAreNoSignOfLoad.

--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -516,7 +516,11 @@
     // other zones were shed.
     bool load_related = !answered && (open.reached_server || any_pending(open));
     double bad = in_time ? 0 : load_related ? 1 : std::min(1.0, kSecond / request_interval());
-    state.good_results += 1 - bad, state.bad_results += bad;
+    // Nor is an answer that began and then paused: that server, or the path to it, writes slowly.
+    // Shedding for it refused most requests of a soak run whose servers had little load.
+    bool paused = std::any_of(open.attempts.begin(), open.attempts.end(),
+                              [](const Attempt& a) { return a.paused; });
+    if (in_time || !paused) state.good_results += 1 - bad, state.bad_results += bad;
     auto it = key_counts[0].find(open.key_hash);
     if (it != key_counts[0].end() && (answered || may_have_run(open)))
       it->second.cached = answered && !open.request.write;
--- a/tests/policy/paused_answer_test.cpp
+++ b/tests/policy/paused_answer_test.cpp
@@ -93,6 +93,24 @@
   EXPECT_LE(extra, 44);  // a half token each, 0.03 tokens for a request, ten kept at most
 }
 
+/// Guards against shedding for servers that write slowly: the requests are served, and the servers
+/// have no more load than before.
+TEST_F(PausedAnswers, LateAnswersAfterAPauseAreNoSignOfLoad) {
+  start();
+  int refused = 0;
+  for (RequestId id = 2; id < 600; ++id) {
+    Micros now = static_cast<Micros>(id) * 10 * kMs;
+    std::string server = sent_to(module->on_request(now, make_read(id, std::to_string(id))));
+    refused += server.empty();
+    if (server.empty()) continue;
+    module->on_answer_pause(now + 70 * kMs, id, 0);
+    Outcome late = make_outcome(id, server, Status::Ok, 0, 400 * kMs);
+    late.finished = true;
+    module->on_outcome(now + 400 * kMs, late);
+  }
+  EXPECT_EQ(refused, 0);
+}
+
 TEST_F(PausedAnswers, InvalidCallsAreIgnored) {
   start();
   for (int attempt : {-1, 1, 1000}) EXPECT_TRUE(module->on_answer_pause(1, 1, attempt).empty());
