Kit: servers that are slow within their answers, the rule that sees a sound answer cut off

The stand-ins answered whole, late, wrongly or not at all, so rehearsals, chaos and soak were green while every answer that paused was cut off.

--- a/src/core/mutants.hpp
+++ b/src/core/mutants.hpp
@@ -17,13 +17,21 @@
   kEvictAtAnyShortage,        ///< each failed accept closes an idle client connection, unread
   kReloadNotRetried,          ///< an unreadable file counts as an invalid one
   kTrustServerClock,          ///< listed start times are used whatever the clock behind them
+  kPauseEndsAnswer,           ///< an answer that pauses is closed on
+  kDeadlineEndsLongValue,     ///< a long value that has begun is not passed on at the deadline
+  kTimeoutEndsAnswer,         ///< an attempt's timeout ends an answer that has begun
+  kRequestSentAfterEnd,       ///< a request that is given up is sent on by the system
+  kProgressByWrites,          ///< only a write that succeeds shows that a client reads
+  kIdsForgotten,              ///< an id is forgotten with its request
 };
 
 #ifdef VIOLETUSHER_MUTANTS
 inline bool mutant(Mutant m) {
-  static constexpr std::string_view kNames[] = {"yes-before-durable", "file-over-memory",
-                                                "evict-at-any-shortage", "reload-not-retried",
-                                                "clock-believed"};
+  static constexpr std::string_view kNames[] = {
+      "yes-before-durable",       "file-over-memory",    "evict-at-any-shortage",
+      "reload-not-retried",       "clock-believed",      "pause-ends-answer",
+      "deadline-ends-long-value", "timeout-ends-answer", "request-sent-after-end",
+      "progress-by-writes",       "ids-forgotten"};
   static const char* planted = std::getenv("VIOLETUSHER_MUTANT");
   return planted && kNames[static_cast<int>(m)] == planted;
 }
--- a/src/kit/common/history.hpp
+++ b/src/kit/common/history.hpp
@@ -34,6 +34,9 @@
   /// When the last byte of its answer was written or its connection ended; 0: neither happened. The
   /// sender of the attempt can know of its end from here on.
   Micros ended = 0;
+  /// Of an answer that is written slowly: when its last byte would have been written if nobody had
+  /// closed. 0: it was written at once.
+  Micros would_end = 0;
   Answered answered = Answered::kNothing;
   bool missed = false;      ///< a read of a key that was not in the price cache
   bool repeat = false;      ///< a write that was not executed, as its key had run before
--- a/src/kit/rehearse/day.cpp
+++ b/src/kit/rehearse/day.cpp
@@ -15,6 +15,8 @@
 namespace violetusher::rehearse {
 namespace {
 
+constexpr std::uint64_t kMaxPieceBytes = 64u << 10;  // of an answer that is written slowly
+
 using standin::FaultKind;
 
 constexpr std::int64_t kMaxServers = 128, kMaxRouters = 32;
@@ -446,6 +448,10 @@
     f.rate = e.fraction("rate", 1);
     f.factor = e.number("factor", 3, 0.01, 10'000);
     f.delay = e.duration("delay", f.kind == FaultKind::kReplaced ? 500'000 : 200'000);
+    if (f.kind == FaultKind::kPieces || f.kind == FaultKind::kLateBody) {
+      f.bytes = e.size("bytes", 64);
+      if (f.bytes == 0 || f.bytes > kMaxPieceBytes) e.fail("bytes", "must be from 1 to 64KiB");
+    }
     switch (f.kind) {
       case FaultKind::kHallCut:
       case FaultKind::kHallSlow:
--- a/src/kit/rehearse/oracle.cpp
+++ b/src/kit/rehearse/oracle.cpp
@@ -101,6 +101,7 @@
       if (t.router >= router_count_ || t.end == TryEnd::kOpen) continue;  // direct, or cut short
       const auto& attempts = attempts_of(t);
       check_not_lost(t, attempts);
+      check_not_cut_off(t, attempts);
       if (t.extra)
         add_violation(kOneAnswer, id_of(t), t.ended, "more bytes came after the final answer");
       bool final =
@@ -167,6 +168,22 @@
     }
   }
 
+  /// An answer that was written slowly, and would have been whole in the client's time, must not be
+  /// ended by the router unless the client is served otherwise.
+  void check_not_cut_off(const kit::TryRecord& t,
+                         const std::vector<const kit::AttemptRecord*>& attempts) {
+    if (t.end == TryEnd::kServed || t.end == TryEnd::kLeft || client_must_retry(t)) return;
+    for (const auto* a : attempts) {
+      if (!a->left || a->would_end == 0 || a->would_end + kOrderSlack > t.sent + t.wait) continue;
+      add_violation(kSoundAnswerCut, id_of(t), a->ended,
+                    "r" + std::to_string(t.router + 1) + " closed on the answer of " +
+                        name(a->server) + " " + kit::duration_text(a->would_end - a->ended) +
+                        " before its end, " + kit::duration_text(t.sent + t.wait - a->would_end) +
+                        " before the client's time was over");
+      return;
+    }
+  }
+
   /// A refusal or failure must be sent as soon as no attempt is in progress for the request.
   void check_answered_at_once(const kit::TryRecord& t,
                               const std::vector<const kit::AttemptRecord*>& attempts) {
--- a/src/kit/rehearse/oracle.hpp
+++ b/src/kit/rehearse/oracle.hpp
@@ -14,6 +14,7 @@
 
 /// Names of the rules in a verdict.
 inline constexpr const char* kNoRequestLost = "no-request-lost";
+inline constexpr const char* kSoundAnswerCut = "sound-answer-cut-off";
 inline constexpr const char* kOneAnswer = "one-answer";
 inline constexpr const char* kNoAttemptAfterAnswer = "nothing-after-the-answer";
 inline constexpr const char* kNoEffectTwice = "no-effect-twice";
--- a/src/kit/soak/actors.cpp
+++ b/src/kit/soak/actors.cpp
@@ -43,6 +43,42 @@
   return text;
 }
 
+void send_all(int fd, const std::string& text) {
+  ::send(fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
+/// What a misbehaving client sends on a new connection, the `turn`th of its crowd.
+void misbehave(int fd, MisbehavingClients::Kind kind, std::size_t turn) {
+  std::string number = std::to_string(turn);
+  switch (kind) {
+    case MisbehavingClients::Kind::kIdle:
+      if (turn % 3 == 1) send_all(fd, "mg k");
+      if (turn % 7 == 2) send_all(fd, "mn\r\n");
+      return;
+    case MisbehavingClients::Kind::kHalfWay:
+      return send_all(fd, "ms k" + number + " 60000 Ohalf" + number +
+                              " Pc=sale-record,t=selam-stores,d=900,k=h" + number + "\r\n" +
+                              std::string(30'000, 'v'));
+    case MisbehavingClients::Kind::kFlood: {
+      std::string lines;
+      for (int k = 0; k < 500; ++k) lines += "mn\r\n";
+      for (int k = 0; k < 50; ++k)
+        lines += "mg k v Of" + number + " Pc=no-class-" + number + "\r\n";
+      return send_all(fd, lines);
+    }
+    case MisbehavingClients::Kind::kLeavers: {
+      std::string lines;
+      for (int k = 0; k < 8; ++k)
+        lines += "mg k" + number + " v Ol" + number + "-" + std::to_string(k) +
+                 " Pc=price-lookup,t=selam-stores,d=300\r\n";
+      send_all(fd, lines);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      ::shutdown(fd, SHUT_RDWR);
+      return;
+    }
+  }
+}
+
 }  // namespace
 
 Actors::Actors(const Schedule& schedule, std::vector<Router> routers)
@@ -104,8 +140,7 @@
   }
 }
 
-/// Connects clients of which some send nothing, some a partial command and some a no-op, and closes
-/// and reconnects them in turn.
+/// Connects the clients, and closes and reconnects them in turn.
 void Actors::misbehaving_clients(const MisbehavingClients& misbehaving_clients) {
   if (!wait_until(misbehaving_clients.from)) return;
   const Router& router = routers_[static_cast<std::size_t>(misbehaving_clients.router)];
@@ -114,8 +149,7 @@
        ++turn) {
     net::Fd& one = open[turn % open.size()];
     one = connect_to(router.clients);
-    if (one && turn % 3 == 1) ::send(one.get(), "mg k", 4, MSG_NOSIGNAL);
-    if (one && turn % 7 == 2) ::send(one.get(), "mn\r\n", 4, MSG_NOSIGNAL);
+    if (one) misbehave(one.get(), misbehaving_clients.kind, turn);
     std::this_thread::sleep_for(std::chrono::microseconds(2 * kMillisecond));
   }
 }
--- a/src/kit/soak/schedule.cpp
+++ b/src/kit/soak/schedule.cpp
@@ -38,6 +38,11 @@
     {"open path=/proc/self/fd/3 error=ENFILE|EIO", true},
 };
 
+const char* name_of(MisbehavingClients::Kind kind) {
+  static const char* const kNames[] = {" misbehaving", " half-way", " flooding", " leaving"};
+  return kNames[static_cast<int>(kind)];
+}
+
 std::string ms(Micros span) { return std::to_string(span / kMillisecond) + "ms"; }
 
 /// Each draw is a statement or a list element of its own: C++ leaves the order open in which
@@ -51,12 +56,14 @@
     s_.servers = std::clamp(bounds.routers / 2 + 6, 8, 16);
     s_.rate = 40.0 * bounds.routers;
     s_.pushed = chance(0.6);
+    s_.profile = bounds.profile;
     length_ = static_cast<Micros>(bounds.seconds * kSecond);
     for (int k = 1 + kUndisturbedServers; k <= s_.servers; ++k) unused_servers_.push_back(k);
     std::shuffle(unused_servers_.begin(), unused_servers_.end(), random_);
   }
 
   Schedule generate() {
+    if (s_.profile == Profile::kSlowPeers) return generate_slow_peers();
     int events = between(4, 9);
     for (int k = 0; k < events; ++k) event();
     failing_calls();
@@ -69,6 +76,53 @@
   }
 
  private:
+  /// Slow answers by most servers over most of the run, spoilt ones among them, restarts and
+  /// signals in series, and in some runs a crowd.
+  Schedule generate_slow_peers() {
+    int slow = between(2, 4);
+    for (int k = 0; k < slow; ++k) slow_answers();
+    if (chance(0.5)) spoilt_answers();
+    int restarts = between(1, 3);
+    for (int k = 0; k < restarts; ++k)
+      add("router-restarts", random_time(), 0,
+          "routers = \"r" + std::to_string(1 + router()) + "\"\n");
+    if (chance(0.5)) server_event(random_time(), random_time() + span(kSecond, 3 * kSecond));
+    int signals = between(1, 4);
+    for (int k = 0; k < signals; ++k) signal();
+    int crowds = between(0, 2);
+    for (int k = 0; k < crowds; ++k) {
+      misbehaving_clients();
+      s_.misbehaving.back().kind = static_cast<MisbehavingClients::Kind>(between(0, 3));
+    }
+    return std::move(s_);
+  }
+
+  /// Every split of an answer occurs: within its line, behind it, in its value and its end.
+  void slow_answers() {
+    Micros at = span(kSecond / 2, 2 * kSecond);
+    Micros until = length_ - span(kSecond / 2, 2 * kSecond);
+    static const char* const kParts[] = {"0.4", "0.7", "1.0", "1.0"};
+    static const char* const kRates[] = {"0.1", "0.3", "0.6"};
+    static const int kFirstBytes[] = {1, 9, 20, 48, 300, 5000, 17000};
+    bool late_body = chance(0.5);
+    int bytes = late_body ? kFirstBytes[between(0, 6)] : 4096 << between(0, 2);
+    Micros delay = late_body ? span(70 * kMillisecond, 350 * kMillisecond)
+                             : span(10 * kMillisecond, 120 * kMillisecond);
+    std::string part = kParts[between(0, 3)];
+    std::string rate = kRates[between(0, 2)];
+    add(late_body ? "answers-with-late-body" : "answers-in-pieces", at, until,
+        "part = " + part + "\nrate = " + rate + "\nbytes = \"" + std::to_string(bytes) +
+            "B\"\ndelay = \"" + ms(delay) + "\"\n");
+  }
+
+  void spoilt_answers() {
+    static const char* const kKinds[] = {"spoilt-noise", "spoilt-endless-line", "spoilt-length",
+                                         "spoilt-other-id", "spoilt-second-copy"};
+    Micros at = random_time();
+    Micros until = at + span(kSecond, 4 * kSecond);
+    add(kKinds[between(0, 4)], at, until, "part = 0.3\nrate = 0.2\n");
+  }
+
   int between(int from, int to) { return std::uniform_int_distribution<int>(from, to)(random_); }
   Micros span(Micros from, Micros to) {
     return std::uniform_int_distribution<Micros>(from, to)(random_);
@@ -222,8 +276,10 @@
   std::string zones;
   for (int r = 0; r < routers; ++r)
     zones += (r > 0 ? ", \"" : "\"") + std::string(kZoneNames[r % kZones]) + "\"";
+  bool slow_peers = profile == Profile::kSlowPeers;
+  std::string fleet = slow_peers ? "\n[fleet]\nvalue_low = \"64B\"\nvalue_high = \"40KiB\"" : "";
   std::string text = "name = \"soak\"\nlength = \"" + ms(static_cast<Micros>(seconds * kSecond)) +
-                     "\"\nseed = " + std::to_string(seed % 1'000'000) +
+                     "\"\nseed = " + std::to_string(seed % 1'000'000) + fleet +
                      "\n[[fleet.servers]]\nkind = \"std-4c\"\ncount = " + std::to_string(servers) +
                      "\n[discovery]\npushed = " + (pushed ? "true" : "false") +
                      "\nnotice = \"100ms\"\ncalls = \"" + std::to_string(20 + 3 * routers) +
@@ -255,7 +311,7 @@
             " apart\n";
   for (const MisbehavingClients& one : misbehaving)
     text += "# r" + std::to_string(one.router + 1) + ": " + std::to_string(one.connections) +
-            " misbehaving clients from " + ms(one.from) + " until " + ms(one.until) + "\n";
+            name_of(one.kind) + " clients from " + ms(one.from) + " until " + ms(one.until) + "\n";
   return text;
 }
 
--- a/src/kit/soak/schedule.hpp
+++ b/src/kit/soak/schedule.hpp
@@ -38,11 +38,24 @@
   Micros interval = 0;
 };
 
-/// Clients that connect, send nothing, a partial command or a no-op, and reconnect.
+/// Clients that connect to harm others, and reconnect.
 struct MisbehavingClients {
+  enum class Kind {
+    kIdle,     ///< send nothing, a partial command or a no-op
+    kHalfWay,  ///< stop within the value of a write
+    kFlood,    ///< send unsound lines as fast as they can
+    kLeavers,  ///< send many reads at once and close with the answers unread
+  };
   int router = 0;
   int connections = 0;
   Micros from = 0, until = 0;
+  Kind kind = Kind::kIdle;
+};
+
+/// What a run is mostly about.
+enum class Profile {
+  kMixed,      ///< failing system calls, bans, restarts, bad servers
+  kSlowPeers,  ///< servers that are slow within their answers, clients that stop half way or leave
 };
 
 /// All items of a run and the parameters of its day.
@@ -52,6 +65,7 @@
   int routers = 6, servers = 8;
   double rate = 200;  ///< requests per second
   bool pushed = true;
+  Profile profile = Profile::kMixed;
   std::vector<DayEvent> events;
   std::vector<FailingCall> failing;
   std::vector<Ban> bans;
@@ -74,6 +88,7 @@
 struct Bounds {
   double seconds = 10;
   int routers = 6;
+  Profile profile = Profile::kMixed;
 };
 
 /// Generates a schedule. The same seed and bounds give the same schedule.
--- a/src/kit/standin/connection.cpp
+++ b/src/kit/standin/connection.cpp
@@ -177,7 +177,9 @@
   if (silent_) return true;
   while (!waiting_.empty() && waiting_.front()->done) {
     Exchange& front = *waiting_.front();
-    out_ += front.text;
+    out_.append(front.text, front.copied, front.released - front.copied);
+    front.copied = front.released;
+    if (front.copied < front.text.size()) break;
     outgoing_.push_back({written_ + out_.size(), front.attempt, front.how});
     owner_.shared_.exchanges.erase(front.token);
     waiting_.pop_front();
@@ -270,6 +272,7 @@
     exchange->text = got == protocol::CommandReader::Got::Noop ? "MN\r\n"
                      : bad                                     ? "CLIENT_ERROR bad command\r\n"
                                                                : "ERROR\r\n";
+    exchange->released = exchange->text.size();
     if (bad) close_after_ = true;
     return exchange;
   }
--- a/src/kit/standin/connection.hpp
+++ b/src/kit/standin/connection.hpp
@@ -31,6 +31,8 @@
   bool hit = false, other_fetch = false;
   kit::Answered how = kit::Answered::kNothing;  ///< outcome to record once `text` is written
   std::string text;
+  std::size_t released = 0;  ///< bytes of `text` that may be written by now
+  std::size_t copied = 0;    ///< of them, those that are in the connection's output
 };
 
 /// A loopback address that is reserved for the whole day: a bound socket that never listens keeps
--- a/src/kit/standin/price_cache.cpp
+++ b/src/kit/standin/price_cache.cpp
@@ -365,9 +365,40 @@
   exchange.text = std::move(text);
   exchange.how = how;  // recorded once it is written, as other answers may have to go first
   exchange.done = true;
+  write_answer(exchange);
   connection.flush();
 }
 
+/// Releases the answer for writing: at once, or in the parts that a fault asks for.
+void PriceCache::write_answer(Exchange& exchange) {
+  const Fault* pieces = fault_applies(FaultKind::kPieces, exchange) ? fault(FaultKind::kPieces)
+                        : fault_applies(FaultKind::kLateBody, exchange)
+                            ? fault(FaultKind::kLateBody)
+                            : nullptr;
+  std::size_t size = exchange.text.size();
+  if (!pieces || pieces->bytes == 0 || pieces->bytes >= size) {
+    exchange.released = size;
+    return;
+  }
+  auto first = static_cast<std::size_t>(pieces->bytes);
+  std::size_t step = pieces->kind == FaultKind::kPieces ? first : size - first;
+  std::size_t gaps = (size - first + step - 1) / step;
+  exchange.released = first;
+  record(exchange).would_end = shared_.loop.now() + static_cast<Micros>(gaps) * pieces->delay;
+  release_later(exchange.token, step, pieces->delay);
+}
+
+void PriceCache::release_later(std::uint64_t token, std::size_t step, Micros gap) {
+  shared_.loop.at(shared_.loop.now() + gap, [this, token, step, gap] {
+    auto it = shared_.exchanges.find(token);
+    if (it == shared_.exchanges.end()) return;  // its connection was closed
+    Exchange& exchange = *it->second;
+    exchange.released = std::min(exchange.released + step, exchange.text.size());
+    if (exchange.released < exchange.text.size()) release_later(token, step, gap);
+    exchange.connection->flush();
+  });
+}
+
 void PriceCache::sample() {
   if (!running_) return;
   Micros now = shared_.loop.now();
--- a/src/kit/standin/price_cache.hpp
+++ b/src/kit/standin/price_cache.hpp
@@ -69,6 +69,8 @@
   void begin(Exchange& exchange);
   void on_work_done(Exchange& exchange);
   void finish(Exchange& exchange, kit::Answered how, std::string text);
+  void write_answer(Exchange& exchange);
+  void release_later(std::uint64_t token, std::size_t step, Micros gap);
   void deliver(std::uint64_t token, kit::Answered how, std::string text, bool reset_connection);
   std::uint64_t size_of(const std::string& key) const;
   std::string served_text(Exchange& exchange);
--- a/src/kit/standin/spec.cpp
+++ b/src/kit/standin/spec.cpp
@@ -8,7 +8,7 @@
 const std::vector<FaultKind>& all_faults() {
   static const std::vector<FaultKind> all = [] {
     std::vector<FaultKind> kinds;
-    for (int k = 0; k <= static_cast<int>(FaultKind::kDiscoverySlow); ++k)
+    for (int k = 0; k <= static_cast<int>(FaultKind::kLateBody); ++k)
       kinds.push_back(static_cast<FaultKind>(k));
     return kinds;
   }();
@@ -65,6 +65,10 @@
       return "watches-reset";
     case FaultKind::kDiscoverySlow:
       return "discovery-slow";
+    case FaultKind::kPieces:
+      return "answers-in-pieces";
+    case FaultKind::kLateBody:
+      return "answers-with-late-body";
   }
   return "?";
 }
--- a/src/kit/standin/spec.hpp
+++ b/src/kit/standin/spec.hpp
@@ -91,6 +91,8 @@
   kDiscoverySilent,  ///< watches open at `from` stay open and are never answered
   kDiscoveryReset,   ///< watches open at `from` are ended
   kDiscoverySlow,    ///< each call of a polled list takes `delay` longer
+  kPieces,           ///< answers are written in pieces of `bytes`, `delay` apart
+  kLateBody,         ///< the first `bytes` of an answer are written at once, the rest `delay` later
 };
 
 /// The name of a kind in day files.
@@ -106,6 +108,7 @@
   int hall = -1;             ///< the zone, for kHallCut and kHallSlow
   double rate = 1, factor = 1;
   Micros delay = 0;
+  std::uint64_t bytes = 0;
 };
 
 /// The opaque id of a till's request, from its number in the plan and the number of the try. The
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/mutants.hpp"
+
 namespace violetusher::net {
 
 using core::CloseReason;
@@ -61,7 +63,8 @@
 void ClientConnection::poll_progress() {
   if (!stalled_since_ && !lingering_) return;
   std::size_t untaken = side_.io_.untaken(socket_.number());
-  if (untaken < untaken_) (lingering_ ? since_ : stalled_since_) = side_.io_.now();
+  bool taken = untaken < untaken_ && !core::mutant(core::Mutant::kProgressByWrites);
+  if (taken) (lingering_ ? since_ : stalled_since_) = side_.io_.now();
   untaken_ = untaken;
 }
 
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/mutants.hpp"
+
 namespace violetusher::net {
 namespace {
 
@@ -370,7 +372,8 @@
   for (Timers::Handle& timer : open.module_timers) deps_.timers.cancel(timer);
   bool may_have_run = std::any_of(open.attempts.begin(), open.attempts.end(),
                                   [](const Attempt& a) { return a.may_have_run; });
-  if (open.claims_id && !may_have_run) deps_.claims.release(open.command.id);
+  bool forget = core::mutant(core::Mutant::kIdsForgotten);
+  if (open.claims_id && (forget || !may_have_run)) deps_.claims.release(open.command.id);
   record_event(Kind::kReleased, open.id);
   deps_.pools.end_request(open.module, deps_.io.now());
   table_.erase(open);
--- a/src/net/request_time_limits.cpp
+++ b/src/net/request_time_limits.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/attempt/answer_progress.hpp"
+#include "core/mutants.hpp"
 #include "request_core.hpp"
 
 namespace violetusher::net {
@@ -32,7 +33,7 @@
 /// any more, and a sound server may still be writing it.
 void RequestCore::begin_stream(OpenRequest& open) {
   open.stream_timer = 0;
-  if (open.answered()) return;
+  if (open.answered() || core::mutant(core::Mutant::kDeadlineEndsLongValue)) return;
   int best = -1;
   std::size_t most = 0;
   for (std::size_t k = 0; k < open.attempts.size(); ++k) {
@@ -81,7 +82,8 @@
 void RequestCore::end_timed_out(OpenRequest& open, int attempt) {
   Attempt& a = open.attempt(attempt);
   if (!a.in_flight || attempt == open.streaming_attempt) return;
-  if (deps_.servers.progress_of(a.server, open.id, attempt).answer_begun) return;
+  bool begun = deps_.servers.progress_of(a.server, open.id, attempt).answer_begun;
+  if (begun && !core::mutant(core::Mutant::kTimeoutEndsAnswer)) return;
   if (deps_.servers.request_progresses(a.server, open.id, attempt)) {
     a.timeout = deps_.timers.set(
         deps_.io.now() + core::kRequestPause,
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/mutants.hpp"
+
 namespace violetusher::net {
 
 using core::flight::Kind;
@@ -394,6 +396,8 @@
 
 void ServerConnection::report_pause(Micros now) {
   if (!receiving() || streaming_ || !progress_.take_pause(now)) return;
+  if (core::mutant(core::Mutant::kPauseEndsAnswer))
+    return side_.close(*this, CloseReason::kNoProgress);
   const QueuedAttempt& e = entries_.front();
   if (e.live) side_.handler_.on_answer_paused(e.id, e.attempt);
 }
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/mutants.hpp"
 #include "server_connection.hpp"
 
 namespace violetusher::net {
@@ -286,7 +287,8 @@
   std::erase(waiting_for_room_, &c);
   c.watch_.reset();
   // The system would go on sending what the server has not taken, for a request that is over.
-  if (core::gives_up_attempts(reason)) io_.discard_untaken(c.socket_.number());
+  if (core::gives_up_attempts(reason) && !core::mutant(core::Mutant::kRequestSentAfterEnd))
+    io_.discard_untaken(c.socket_.number());
   c.socket_.reset();
   auto& all = c.pool_.connections;
   auto at = std::find_if(all.begin(), all.end(), [&](const auto& p) { return p.get() == &c; });
@@ -376,6 +378,7 @@
       // server that may have begun to drain since.
       c.drop_unsent(now - limits_.dial_timeout);
       c.report_pause(now);
+      if (c.closed_) continue;
       if (auto reason = c.timed_out(now)) close(c, *reason);
     }
     // The state of a server that was removed, by a whole list or by a change, is freed once its
--- a/tests/kit/rehearse/day_test.cpp
+++ b/tests/kit/rehearse/day_test.cpp
@@ -112,6 +112,12 @@
                "selects no price cache"},
         Broken{"[[event]]\nwhat = \"dies\"\nat = \"1s\"\nservers = \"pc-1\"\nrats = 0.5\n",
                "d.toml:10: event[1]: unknown key 'rats'"},
+        Broken{"[[event]]\nwhat = \"answers-in-pieces\"\nat = \"1s\"\nservers = \"pc-1\"\n"
+               "bytes = \"65KiB\"\n",
+               "d.toml:10: event[1].bytes: must be from 1 to 64KiB"},
+        Broken{"[[event]]\nwhat = \"answers-with-late-body\"\nat = \"1s\"\nservers = \"pc-1\"\n"
+               "delay = \"-5ms\"\n",
+               "d.toml:10: event[1].delay"},
         Broken{"[[event]]\nwhat = \"hall-cut-off\"\nat = \"1s\"\nhall = \"addis\"\n",
                "no hall 'addis'"},
         Broken{
--- a/tests/kit/rehearse/oracle_test.cpp
+++ b/tests/kit/rehearse/oracle_test.cpp
@@ -115,6 +115,24 @@
   EXPECT_EQ(f.broken(), "");
 }
 
+TEST(Oracle, ASoundAnswerThatTheRouterClosedOnIsCutOffUnlessTheClientIsServed) {
+  Fixture f;
+  f.h.attempts[0].would_end = f.h.tries[0].sent + 200'000;
+  f.h.attempts[0].left = true;
+  EXPECT_EQ(f.broken(), "");  // served, by another attempt
+  f.h.tries[0].end = kit::TryEnd::kRefused;
+  EXPECT_EQ(f.broken(), "sound-answer-cut-off ");
+  Fixture late = f;
+  late.h.attempts[0].would_end = f.h.tries[0].sent + f.h.tries[0].wait + 1'000;
+  EXPECT_EQ(late.broken(), "");
+  Fixture server = f;
+  server.h.attempts[0].left = false;  // the server closed
+  EXPECT_EQ(server.broken(), "");
+  Fixture client = f;
+  client.h.tries[0].end = kit::TryEnd::kLeft;
+  EXPECT_EQ(client.broken(), "");
+}
+
 TEST(Oracle, BytesAfterTheAnswerAreASecondAnswer) {
   Fixture f;
   f.h.tries[0].extra = true;
