Commands that wait at the end of a shutdown are refused instead of closed on

What callers saw: a client that had 400 commands (100 KB) on one connection when its router was told to end got 162 to 171 answers; the rest was closed on. PROTOCOL: a request is taken once its last byte is written to a connection that the router's machine accepted.

Cause: at the end of a shutdown a connection without an open request was closed whatever lay behind it, parsed or not, read or not.

Now what has arrived by then is read, one pipeline a pass, and refused, as none of it was sent.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -155,7 +155,7 @@
     side_.respond(PendingResponse(slot), {}, Reply(Reply::Kind::Failed));
     return;
   }
-  if (over_limit_ || command.value_discarded) {
+  if (over_limit_ || command.value_discarded || side_.closing_all_) {
     side_.handler_.on_rejected(command);
     side_.respond(PendingResponse(slot), {}, Reply(Reply::Kind::Busy));
     return;
@@ -275,9 +275,10 @@
     close_after_truncated_value();
     return;
   }
-  // A command that has arrived by now must be served: read before the connection may close.
-  if (quiescent() && may_close_for_shutdown() && !eof_ && !lingering_ && !side_.closing_all_)
-    read();
+  // A command that has arrived by now must be answered: read before the connection may close. At
+  // the end of a shutdown it is rejected.
+  if (side_.closing_all_ && !unparsed_.empty()) parse_deferred();
+  if (quiescent() && may_close_for_shutdown() && !eof_ && !lingering_) read();
   if (closed_) return;
   if (quiescent() && (eof_ || protocol_error_ || over_limit_ || may_close_for_shutdown())) {
     start_lingering_close(may_close_for_shutdown() ? CloseReason::kStopping
--- a/tests/daemon/slow_clients_test.cpp
+++ b/tests/daemon/slow_clients_test.cpp
@@ -92,6 +92,26 @@
   }
 }
 
+// ---- the end of a shutdown ----
+
+/// Guards against closing on commands that waited for others of their connection, in the router or
+/// in the system's buffers.
+TEST_F(SlowClients, CommandsThatWaitAtTheEndOfAShutdownAreAnswered) {
+  constexpr int kCommands = 400;
+  start([](const ReceivedCommand&) { return std::vector<Piece>(); });  // silent
+  Client client(port_);
+  std::string commands;
+  for (int k = 0; k < kCommands; ++k)
+    commands += read_command("c" + std::to_string(k), std::string(200, 'k'), "600");
+  client.send(commands);
+  sleep_ms(100);
+  daemon_->signal(SIGTERM);
+  std::string answers = client.read_all();
+  EXPECT_EQ(std::count(answers.begin(), answers.end(), '\n'), kCommands);
+  EXPECT_FALSE(client.reset());
+  EXPECT_EQ(daemon_->wait(), 0);
+}
+
 // ---- ids that come again ----
 
 std::vector<Piece> store_late(const ReceivedCommand& c) {
