--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "core/mutants.hpp"
-
 namespace violetusher::net {
 
 using core::flight::Kind;
@@ -12,9 +10,6 @@
 
 namespace {
 
-// The answer to an abandoned attempt is awaited for this long, so that its connection can be
-// reused; after that the machine is considered silent.
-constexpr Micros kAbandonedAnswerTimeout = kSecond;
 // Bytes of a long value that must have come before its length is trusted and it is streamed on.
 constexpr std::size_t kMinStreamedBytes = 16u << 10;
 // A dial that this machine cannot start is deferred for this long at most: five in a row, at five
@@ -257,36 +252,6 @@
   if (!closed_) require_room();
 }
 
-/// A server that has more to send than there is room for keeps it until then.
-void ServerConnection::require_room() {
-  update_buffered();
-  std::size_t missing = reader_.to_be_buffered();
-  if (missing == 0 || admitted_) return;
-  if (side_.waiting_for_room_.empty() && admit_answer()) return;
-  waits_for_room_ = true;
-  watch_->read(false);
-  side_.waiting_for_room_.push_back(this);
-}
-
-bool ServerConnection::admit_answer() {
-  if (!side_.budget_.admits_answer(reader_.to_be_buffered())) return false;
-  admitted_ = true;
-  reader_.reserve_buffer();
-  update_buffered();
-  if (std::exchange(waits_for_room_, false)) resume();
-  return true;
-}
-
-void ServerConnection::update_buffered() {
-  std::size_t bytes = 0;
-  if (!closed_) {
-    bytes = reader_.buffered() + unconfirmed_value_.size();
-    if (admitted_) bytes += reader_.to_be_buffered();
-    for (std::size_t k = sent_; k < entries_.size(); ++k) bytes += entries_[k].size;
-  }
-  side_.budget_.update(counted_bytes_, bytes);
-}
-
 /// A value is streamed on only after more of it has come than accompanies a false length. Until
 /// then it can still be a failed attempt and be retried elsewhere.
 void ServerConnection::on_value_piece(std::string_view piece) {
@@ -309,23 +274,6 @@
   if (!e.live && abandoned()) side_.close(*this, CloseReason::kAbandoned);
 }
 
-bool ServerConnection::request_progresses() {
-  std::size_t untaken = side_.io_.untaken(socket_.number());
-  if (partial_ > 0) untaken += entries_[sent_].size - partial_;
-  std::size_t before = std::exchange(untaken_, untaken);
-  return before == 0 ? untaken > 0 : untaken < before;
-}
-
-ServerSide::AttemptProgress ServerConnection::progress_of(std::size_t index) const {
-  ServerSide::AttemptProgress progress;
-  if (index > 0 || !reader_.in_answer()) return progress;
-  const Answer* head = reader_.value_head();
-  progress.answer_begun = true;
-  progress.long_value = head && head->length > protocol::kMaxValueBytes && !streaming_;
-  progress.answer_bytes = progress_.bytes();
-  return progress;
-}
-
 void ServerConnection::forward(std::string_view piece) {
   const QueuedAttempt& e = entries_.front();
   if (side_.handler_.on_stream_data(e.id, e.attempt, piece)) return;
@@ -385,34 +333,4 @@
   }
 }
 
-std::optional<CloseReason> ServerConnection::timed_out(Micros now) const {
-  if (entries_.empty()) return std::nullopt;
-  const QueuedAttempt& head = entries_.front();
-  bool silent = now - std::max(head.since, last_active_at_) > kAbandonedAnswerTimeout;
-  if (!head.live && silent && abandoned()) return CloseReason::kSilent;
-  if (receiving() && progress_.timed_out(now) && !may_have_ended()) return CloseReason::kNoProgress;
-  return std::nullopt;
-}
-
-void ServerConnection::report_pause(Micros now) {
-  if (!receiving() || streaming_ || !progress_.take_pause(now)) return;
-  if (core::mutant(core::Mutant::kPauseEndsAnswer))
-    return side_.close(*this, CloseReason::kNoProgress);
-  const QueuedAttempt& e = entries_.front();
-  if (e.live) side_.handler_.on_answer_paused(e.id, e.attempt);
-}
-
-void ServerConnection::report_interruption(std::size_t index, CloseReason reason) const {
-  const QueuedAttempt& e = entries_[index];
-  core::InterruptedAttempt interrupted;
-  interrupted.request = e.id;
-  interrupted.attempt = e.attempt;
-  interrupted.server = pool_.id;
-  interrupted.reason = reason;
-  interrupted.answer_bytes = index == 0 ? progress_.bytes() : 0;
-  interrupted.request_bytes = index < sent_ ? e.size : index == sent_ ? partial_ : 0;
-  interrupted.age = side_.io_.now() - e.queued_at;
-  side_.handler_.on_attempt_interrupted(interrupted);
-}
-
 }  // namespace violetusher::net
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -18,10 +18,6 @@
 constexpr Micros kReuseDelay = 3 * kMillisecond;
 // No dial to a server that has just refused one while it has working connections.
 constexpr Micros kDialBackoff = kSecond / 5;
-constexpr Micros kSweepInterval = kSecond / 50;
-// A dial that has not ended this long after its timeout is not being watched: the system was out of
-// a resource when it was asked to.
-constexpr Micros kUnwatchedDialTimeout = 2 * kSweepInterval;
 
 }  // namespace
 
@@ -322,24 +318,6 @@
   }
 }
 
-/// Closes the idle connections that exceed this router's idle budget, the least recently used
-/// first.
-void ServerSide::trim_idle(ServerPool& pool) {
-  auto& all = pool.connections;
-  pool.idle_budget.advance(io_.now(), limits_.table, all.size());
-  if (all.empty()) return;
-  auto idle = std::count_if(all.begin(), all.end(), [](const auto& c) { return c->idle(); });
-  std::size_t count =
-      pool.idle_budget.to_close(limits_.table, all.size(), static_cast<std::size_t>(idle));
-  for (; count > 0; --count) {
-    ServerConnection* least_recent = nullptr;
-    for (auto& c : all)
-      if (c->idle() && (!least_recent || c->last_active_at_ < least_recent->last_active_at_))
-        least_recent = c.get();
-    close(*least_recent, CloseReason::kIdle);
-  }
-}
-
 void ServerSide::reassign_deferred(ServerPool& pool) {
   if (!dials_deferred_) return;
   for (auto& c : pool.connections)
@@ -351,43 +329,6 @@
     }
 }
 
-void ServerSide::sweep() {
-  Micros now = io_.now();
-  bool deferred = false;
-  for (auto it = pools_.begin(); it != pools_.end();) {
-    ServerPool& pool = *it->second;
-    trim_idle(pool);
-    for (std::size_t k = pool.connections.size(); k-- > 0;) {
-      ServerConnection& c = *pool.connections[k];
-      if (c.connecting_) {
-        deferred |= !c.socket_;
-        if (!c.socket_)
-          c.retry_dial();
-        else if (now > c.dial_until_ + kUnwatchedDialTimeout)
-          on_dial_failed(c, CallResult::kTransientError);
-        continue;
-      }
-      if (c.entries_.empty()) {
-        if (c.draining_)
-          close(c, CloseReason::kDrained);
-        else if (now - c.last_active_at_ > limits_.table.max_idle_time)
-          close(c, CloseReason::kIdle);
-        continue;
-      }
-      // What a full socket buffer has held back this long was never sent, and must not be sent to a
-      // server that may have begun to drain since.
-      c.drop_unsent(now - limits_.dial_timeout);
-      c.report_pause(now);
-      if (c.closed_) continue;
-      if (auto reason = c.timed_out(now)) close(c, *reason);
-    }
-    // The state of a server that was removed, by a whole list or by a change, is freed once its
-    // last attempt has ended.
-    it = !pool.listed && pool.connections.empty() ? pools_.erase(it) : std::next(it);
-  }
-  dials_deferred_ = deferred;
-}
-
 void ServerSide::admit_waiting_answers() {
   while (!waiting_for_room_.empty() && waiting_for_room_.front()->admit_answer())
     waiting_for_room_.erase(waiting_for_room_.begin());
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -170,6 +170,7 @@
   std::vector<ServerConnection*> dirty_;
   core::BufferBudget budget_;
   std::vector<ServerConnection*> waiting_for_room_;  // not read until the buffers have room
+  static constexpr Micros kSweepInterval = kSecond / 50;
   static constexpr std::size_t kReadBufferBytes = 16u << 10;  // bytes per read
   std::unique_ptr<char[]> read_buffer_;
   Answer answer_;  // the one being read
