Kit: only sound answers are written slowly, so that no spoilt one is judged as cut off

A router closes on an endless line before its last piece, and on the second copy of an answer whose first it has passed on, of which the kit then had no record.

--- a/src/kit/standin/price_cache.cpp
+++ b/src/kit/standin/price_cache.cpp
@@ -369,9 +369,13 @@
   connection.flush();
 }
 
-/// Releases the answer for writing: at once, or in the parts that a fault asks for.
+/// Releases the answer for writing: at once, or in the parts that a fault asks for. Those are for
+/// sound answers: a router may close on any other as soon as it sees what it is.
 void PriceCache::write_answer(Exchange& exchange) {
-  const Fault* pieces = fault_applies(FaultKind::kPieces, exchange) ? fault(FaultKind::kPieces)
+  bool sound =
+      exchange.how == Answered::kServed && !fault_applies(FaultKind::kSecondCopy, exchange);
+  const Fault* pieces = !sound                                        ? nullptr
+                        : fault_applies(FaultKind::kPieces, exchange) ? fault(FaultKind::kPieces)
                         : fault_applies(FaultKind::kLateBody, exchange)
                             ? fault(FaultKind::kLateBody)
                             : nullptr;
