--- a/src/core/guard/request_claims.hpp
+++ b/src/core/guard/request_claims.hpp
@@ -21,7 +21,7 @@
   static_assert(Slot::is_always_lock_free);
   static constexpr Micros kRetention = 60'000'000;
   /// Places for the ids of one hash.
-  static constexpr std::size_t kWays = 8;
+  static constexpr std::size_t kWays = 32;
   static constexpr std::size_t kSlots = std::size_t{1} << 14;
 
   /// `slots`: kSlots of them, zero at first; they must outlive this object.
