One path for a router's own files, one look-up of a request's class

The path of the claims file was worked out a second time beside that of the ban log: Config::state_file() serves both. The loop over the settings for a request's class stood twice in RequestCore: class_of() serves both. Behaviour is as before.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -188,6 +188,13 @@
 
 }  // namespace
 
+std::string Config::state_file(const std::string& kind) const {
+  if (state_directory.empty()) return {};
+  std::string file = name;
+  std::replace(file.begin(), file.end(), '/', '_');
+  return state_directory + "/violetusher-" + file + "." + kind;
+}
+
 HostList parse_host_list(const std::string& json) {
   try {
     return host_list_from_json(Json::parse(json));
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -58,6 +58,10 @@
   violetusher::Settings settings;
   std::vector<std::string> paths;  ///< of all settings in the file; see core::ops::missing_path
   violetusher::protocol::ConnectionSettings connection_settings;
+
+  /// The path of one of the router's own files in the state directory. It depends on the router's
+  /// name alone, which stays the same after a restart. Empty without a state directory.
+  std::string state_file(const std::string& kind) const;
 };
 
 /// Reads the file named by NODE_CONFIG; other NODE_ variables that are set override it. Throws
--- a/src/net/operations.cpp
+++ b/src/net/operations.cpp
@@ -12,15 +12,6 @@
 // Every operator command must be answered within a second.
 constexpr Micros kDurabilityTimeout = 4 * kSecond / 5;
 
-/// The path of the ban log; it depends only on the state directory and the router's name, which
-/// stay the same after a restart.
-std::string ban_path(const Config& config) {
-  if (config.operator_listen.empty() || config.state_directory.empty()) return {};
-  std::string name = config.name;
-  std::replace(name.begin(), name.end(), '/', '_');
-  return config.state_directory + "/violetusher-" + name + ".bans";
-}
-
 }  // namespace
 
 Operations::Operations(Io& io, const Config& config, const core::ops::Metrics& metrics,
@@ -31,7 +22,7 @@
       handler_(handler),
       log_(log),
       hosts_(config.initial_hosts),
-      bans_(ban_path(config)),
+      bans_(config.operator_listen.empty() ? "" : config.state_file("bans")),
       listener_(io,
                 [this](std::string_view line, OperatorListener::Responder respond) {
                   return handle_command(line, std::move(respond));
--- a/src/net/request_actions.cpp
+++ b/src/net/request_actions.cpp
@@ -81,12 +81,10 @@
 bool RequestCore::claim_id(OpenRequest& open) {
   if (!open.attempts.empty()) return true;
   using violetusher::Effect;
-  for (const auto& type : deps_.config.settings.classes) {
-    if (type.name != open.command.type) continue;
-    bool repeats_are_dropped =
-        type.effect == Effect::Keyed && type.group == violetusher::Group::All;
-    if (type.effect == Effect::Repeatable || repeats_are_dropped) return true;
-  }
+  const auto* type = class_of(open);
+  bool repeats_are_dropped =
+      type && type->effect == Effect::Keyed && type->group == violetusher::Group::All;
+  if (repeats_are_dropped || (type && type->effect == Effect::Repeatable)) return true;
   open.claims_id = deps_.claims.claim(deps_.io.uptime(), open.command.id);
   if (open.claims_id) return true;
   respond(open, kFailedReply, Reason::kDuplicateId);
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -206,12 +206,16 @@
   respond(open, reply, Reason::kNone);
 }
 
+const violetusher::ClassSettings* RequestCore::class_of(const OpenRequest& open) const {
+  for (const auto& one : deps_.config.settings.classes)
+    if (one.name == open.command.type) return &one;
+  return nullptr;
+}
+
 /// The request has run: the client is told to try again only where that is harmless.
 const Reply& RequestCore::reply_without_room(const OpenRequest& open) const {
-  for (const auto& one : deps_.config.settings.classes)
-    if (one.name == open.command.type && one.effect == violetusher::Effect::Repeatable)
-      return kBusyReply;
-  return kFailedReply;
+  const auto* type = class_of(open);
+  return type && type->effect == violetusher::Effect::Repeatable ? kBusyReply : kFailedReply;
 }
 
 void RequestCore::fail_all() {
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -105,6 +105,8 @@
   void record_final_response(OpenRequest& open, Reply::Kind kind);
   void respond(OpenRequest& open, const Reply& reply, Reason why);
   void respond_with(OpenRequest& open, const Answer& answer);
+  /// The settings of the request's class now; null if they have dropped it.
+  const violetusher::ClassSettings* class_of(const OpenRequest& open) const;
   const Reply& reply_without_room(const OpenRequest& open) const;
   bool within_retry_budget(OpenRequest& open);
   bool claim_id(OpenRequest& open);
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -72,14 +72,6 @@
                                  : core::membership::pushed_timing(settings.drain_grace);
 }
 
-/// Where another process may replace this one, both have to know which requests were sent.
-std::string claims_path(const Config& c) {
-  if (c.accept_fd < 0 || c.state_directory.empty()) return {};
-  std::string name = c.name;
-  std::replace(name.begin(), name.end(), '/', '_');
-  return c.state_directory + "/violetusher-" + name + ".claims";
-}
-
 Micros longest_deadline(const Config& c) {
   Micros longest = 0;
   for (const auto& one : c.settings.classes) longest = std::max(longest, one.deadline);
@@ -92,7 +84,8 @@
     : io_(io),
       config_(config),
       log_(log),
-      claims_memory_(claims_path(config)),
+      // Another process may replace this one where the platform holds the listening socket.
+      claims_memory_(config.accept_fd < 0 ? "" : config.state_file("claims")),
       claims_(claims_memory_.slots()),
       pools_(config_, *this, io.now()),
       core_({io, config_, pools_, timers_, feed_, clients_, servers_, recorder_, metrics_,
--- a/tests/net/shared_connection_test.cpp
+++ b/tests/net/shared_connection_test.cpp
@@ -21,6 +21,15 @@
     io.ready(server, Watch::kWritable);
     flush();
   }
+  /// Requests a and b of two clients, of which the second waits for the answer to the first.
+  void send_two_reads() {
+    first = client_with(read_command("a"));
+    second = client_with(read_command("b", "k2", "3000"));
+    core.send({1, "s-0", 0});
+    establish();
+    core.send({2, "s-0", 0});
+    flush();
+  }
   void answer(const std::string& text) {
     io.ends[server].in += text;
     io.ready(server, Watch::kReadable);
@@ -36,14 +45,14 @@
   }
   void sweep_servers() { servers.update_hosts(config.initial_hosts); }
 
-  int server = 0;
+  int server = 0, first = 0, second = 0;
 };
 
 /// Guards against closing a connection under the answer to another request when a request that its
 /// server reads slowly is given up.
 TEST_F(SharedConnection, AnAnswerThatHasBegunOutlivesAPartlyWrittenRequestBehindIt) {
-  int first = client_with(read_command("a"));
-  int second = client_with(write_command("put", "b", "1500", std::string(1000, 'v')));
+  first = client_with(read_command("a"));
+  second = client_with(write_command("put", "b", "1500", std::string(1000, 'v')));
   int third = client_with(read_command("c"));
   core.send({1, "s-0", 0});
   establish();
@@ -68,12 +77,7 @@
 
 /// Guards against ending a request because nobody waits any more for the one before it.
 TEST_F(SharedConnection, ARequestBehindAnAbandonedOneIsWaitedFor) {
-  int first = client_with(read_command("a"));
-  int second = client_with(read_command("b", "k2", "3000"));
-  core.send({1, "s-0", 0});
-  establish();
-  core.send({2, "s-0", 0});
-  flush();
+  send_two_reads();
   leave(first, 1);
   io.time += kLongAgo;
   sweep_servers();
@@ -83,14 +87,26 @@
 }
 
 TEST_F(SharedConnection, IsClosedOnceNobodyWaitsAndTheServerIsSilent) {
-  int first = client_with(read_command("a"));
-  int second = client_with(read_command("b", "k2", "3000"));
+  send_two_reads();
+  leave(first, 1);
+  leave(second, 2);
+  EXPECT_FALSE(io.ends[server].open);
+}
+
+/// The request behind an abandoned one is withdrawn unsent: nobody waits, and nothing is cancelled.
+TEST_F(SharedConnection, AnAbandonedAnswerIsNotAwaitedForEver) {
+  first = client_with(read_command("a"));
+  second = client_with(read_command("b", "k2", "3000"));
   core.send({1, "s-0", 0});
   establish();
+  io.ends[server].blocked = true;
   core.send({2, "s-0", 0});
   flush();
   leave(first, 1);
   leave(second, 2);
+  EXPECT_TRUE(io.ends[server].open);
+  io.time += kLongAgo;
+  sweep_servers();
   EXPECT_FALSE(io.ends[server].open);
 }
 
