Kit and test support: simpler choice of slow writing and of the profile, one loopback listener

The stand-in chose the fault that slows an answer down in a nested conditional that looked each one up twice; the profile of soak was a string beside the bounds it is a part of; two new tests opened a listening socket each in their own way.

--- a/src/kit/soak/command.cpp
+++ b/src/kit/soak/command.cpp
@@ -27,7 +27,7 @@
 struct Options {
   Programs programs;
   Bounds bounds;
-  std::string seeds = "1", profile = "mixed", json, report;
+  std::string seeds = "1", json, report;
   bool shrink = false, plan = false;
 };
 
@@ -117,14 +117,13 @@
          rows + "</table>\n";
 }
 
-int soak(Options o) {
+int soak(const Options& o) {
   auto seeds = seeds_of(o.seeds);
   if (!seeds) {
     std::fprintf(stderr, "violetusher-kit: --seeds: '%s' is not a seed A or a range A-B\n",
                  o.seeds.c_str());
     return kWrongInput;
   }
-  if (o.profile == "slow-peers") o.bounds.profile = Profile::kSlowPeers;
   if (o.plan) {
     for (std::uint64_t seed = seeds->from; seed <= seeds->to; ++seed)
       std::printf("%s", generate(seed, o.bounds).text().c_str());
@@ -177,9 +176,10 @@
   CLI::App* sub = app.add_subcommand(
       "soak", "Runs random overlapping faults against real routers and checks their behaviour");
   sub->add_option("--seeds", o->seeds, "a seed A or a range A-B")->capture_default_str();
-  sub->add_option("--profile", o->profile, "what the runs are about")
-      ->check(CLI::IsMember({"mixed", "slow-peers"}))
-      ->capture_default_str();
+  const std::map<std::string, Profile> profiles{{"mixed", Profile::kMixed},
+                                                {"slow-peers", Profile::kSlowPeers}};
+  sub->add_option("--profile", o->bounds.profile, "what the runs are about (default: mixed)")
+      ->transform(CLI::CheckedTransformer(profiles));
   sub->add_option("--seconds", o->bounds.seconds, "duration of each run")
       ->check(CLI::Range(6.0, 3600.0))
       ->capture_default_str();
--- a/src/kit/soak/schedule.cpp
+++ b/src/kit/soak/schedule.cpp
@@ -39,7 +39,7 @@
 };
 
 const char* name_of(MisbehavingClients::Kind kind) {
-  static const char* const kNames[] = {" misbehaving", " half-way", " flooding", " leaving"};
+  static const char* const kNames[] = {"misbehaving", "half-way", "flooding", "leaving"};
   return kNames[static_cast<int>(kind)];
 }
 
@@ -313,7 +313,7 @@
             " at " + ms(one.at) + ", " + std::to_string(one.count) + " times, " + ms(one.interval) +
             " apart\n";
   for (const MisbehavingClients& one : misbehaving)
-    text += "# r" + std::to_string(one.router + 1) + ": " + std::to_string(one.connections) +
+    text += "# r" + std::to_string(one.router + 1) + ": " + std::to_string(one.connections) + " " +
             name_of(one.kind) + " clients from " + ms(one.from) + " until " + ms(one.until) + "\n";
   return text;
 }
--- a/src/kit/standin/price_cache.cpp
+++ b/src/kit/standin/price_cache.cpp
@@ -369,16 +369,19 @@
   connection.flush();
 }
 
-/// Releases the answer for writing: at once, or in the parts that a fault asks for. Those are for
-/// sound answers: a router may close on any other as soon as it sees what it is.
+/// The fault that slows this answer down, or null. Only sound answers are: a router may close on
+/// any other as soon as it sees what it is.
+const Fault* PriceCache::slow_writing(const Exchange& exchange) const {
+  if (exchange.how != Answered::kServed || fault_applies(FaultKind::kSecondCopy, exchange))
+    return nullptr;
+  for (FaultKind kind : {FaultKind::kPieces, FaultKind::kLateBody})
+    if (fault_applies(kind, exchange)) return fault(kind);
+  return nullptr;
+}
+
+/// Releases the answer for writing: at once, or in the parts that a fault asks for.
 void PriceCache::write_answer(Exchange& exchange) {
-  bool sound =
-      exchange.how == Answered::kServed && !fault_applies(FaultKind::kSecondCopy, exchange);
-  const Fault* pieces = !sound                                        ? nullptr
-                        : fault_applies(FaultKind::kPieces, exchange) ? fault(FaultKind::kPieces)
-                        : fault_applies(FaultKind::kLateBody, exchange)
-                            ? fault(FaultKind::kLateBody)
-                            : nullptr;
+  const Fault* pieces = slow_writing(exchange);
   std::size_t size = exchange.text.size();
   if (!pieces || pieces->bytes == 0 || pieces->bytes >= size) {
     exchange.released = size;
--- a/src/kit/standin/price_cache.hpp
+++ b/src/kit/standin/price_cache.hpp
@@ -69,6 +69,7 @@
   void begin(Exchange& exchange);
   void on_work_done(Exchange& exchange);
   void finish(Exchange& exchange, kit::Answered how, std::string text);
+  const Fault* slow_writing(const Exchange& exchange) const;
   void write_answer(Exchange& exchange);
   void release_later(std::uint64_t token, std::size_t step, Micros gap);
   void deliver(std::uint64_t token, kit::Answered how, std::string text, bool reset_connection);
--- a/tests/daemon/paced_server.hpp
+++ b/tests/daemon/paced_server.hpp
@@ -51,18 +51,8 @@
   PacedServer(Answer answer, Reading reading, std::uint16_t port = 0)
       : answer_(std::move(answer)),
         reading_(reading),
-        listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    int on = 1;
-    ::setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    if (reading_.receive_buffer > 0)
-      ::setsockopt(listener_.get(), SOL_SOCKET, SO_RCVBUF, &reading_.receive_buffer,
-                   sizeof reading_.receive_buffer);
-    sockaddr_in a = loopback(port);
-    EXPECT_EQ(::bind(listener_.get(), reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
-    ::listen(listener_.get(), 512);
-    socklen_t size = sizeof a;
-    ::getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&a), &size);
-    port_ = ntohs(a.sin_port);
+        port_(port),
+        listener_(listen_on_loopback(port_, reading.receive_buffer)) {
     thread_ = std::thread([this] { serve(); });
   }
   ~PacedServer() { stop(); }
@@ -190,8 +180,8 @@
 
   Answer answer_;
   Reading reading_;
+  std::uint16_t port_;
   Fd listener_;
-  std::uint16_t port_ = 0;
   mutable std::mutex mutex_;
   std::vector<ReceivedCommand> commands_;
   std::vector<SteadyTime> times_;
--- a/tests/daemon/slow_clients_test.cpp
+++ b/tests/daemon/slow_clients_test.cpp
@@ -147,13 +147,9 @@
   for (int k = 0; k < 5; ++k) servers_.push_back(std::make_unique<PacedServer>(store_late));
   for (const auto& server : servers_) options_.dials.push_back(server->address());
   folder_.write("config.json", config_text(options_));
-  Fd listener(::socket(AF_INET, SOCK_STREAM, 0));
-  sockaddr_in a = loopback(0);
-  ::bind(listener.get(), reinterpret_cast<sockaddr*>(&a), sizeof a);
-  ::listen(listener.get(), 64);
-  socklen_t size = sizeof a;
-  ::getsockname(listener.get(), reinterpret_cast<sockaddr*>(&a), &size);
-  std::uint16_t port = ntohs(a.sin_port);
+  std::uint16_t port = 0;
+  Fd listener = listen_on_loopback(port);
+  ::fcntl(listener.get(), F_SETFD, 0);  // inherited by both
   Daemon::Options options;
   options.environment = {"NODE_ACCEPT_FD=" + std::to_string(listener.get())};
   Daemon one(folder_, options), other(folder_, options);
--- a/tests/net/net_support.hpp
+++ b/tests/net/net_support.hpp
@@ -103,6 +103,22 @@
   bool ended_ = false, reset_ = false;
 };
 
+/// A listening socket on `port`, or on any free one, which is written there.
+inline Fd listen_on_loopback(std::uint16_t& port, int receive_buffer = 0) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  int on = 1;
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (receive_buffer > 0)
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+  sockaddr_in a = loopback(port);
+  EXPECT_EQ(::bind(fd.get(), reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
+  ::listen(fd.get(), 512);
+  socklen_t size = sizeof a;
+  ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&a), &size);
+  port = ntohs(a.sin_port);
+  return fd;
+}
+
 /// As a reply: closes the connection instead.
 inline const std::string kClose = "(close)";
 
