The test of late answers after a pause runs its clock forwards, and catches the fault

PausedAnswers.LateAnswersAfterAPauseAreNoSignOfLoad passed without its fix: it gave outcomes 0.4 s ahead and then went on 10 ms later. A module's clock does not go back, so no answer was late in it.

Now its events are in the order of time: a request every 10 ms, its answer paused after 70 and whole after 400 ms; nothing may be refused, as before.

--- a/tests/policy/paused_answer_test.cpp
+++ b/tests/policy/paused_answer_test.cpp
@@ -2,6 +2,8 @@
 // two attempts out, and no attempt is ended for it.
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "support.hpp"
 
 namespace violetusher::test {
@@ -94,19 +96,24 @@
 }
 
 /// Guards against shedding for servers that write slowly: the requests are served, and the servers
-/// have no more load than before.
+/// have no more load than before. A request every 10 ms, whose answer pauses after 70 ms and is
+/// whole after 400 ms, past the objective.
 TEST_F(PausedAnswers, LateAnswersAfterAPauseAreNoSignOfLoad) {
   start();
+  constexpr RequestId kPauseAfter = 7, kWholeAfter = 40;  // requests later
+  std::map<RequestId, std::string> sent;
   int refused = 0;
-  for (RequestId id = 2; id < 600; ++id) {
+  for (RequestId id = 2; id < 1000; ++id) {
     Micros now = static_cast<Micros>(id) * 10 * kMs;
+    if (sent.count(id - kPauseAfter)) module->on_answer_pause(now, id - kPauseAfter, 0);
+    if (auto it = sent.find(id - kWholeAfter); it != sent.end()) {
+      Outcome late = make_outcome(it->first, it->second, Status::Ok, 0, 400 * kMs);
+      late.finished = true;
+      module->on_outcome(now, late);
+    }
     std::string server = sent_to(module->on_request(now, make_read(id, std::to_string(id))));
     refused += server.empty();
-    if (server.empty()) continue;
-    module->on_answer_pause(now + 70 * kMs, id, 0);
-    Outcome late = make_outcome(id, server, Status::Ok, 0, 400 * kMs);
-    late.finished = true;
-    module->on_outcome(now + 400 * kMs, late);
+    if (!server.empty()) sent[id] = server;
   }
   EXPECT_EQ(refused, 0);
 }
