Servers' share of descriptors is rounded up, so that clients leave a third of them free

Clients could hold 667 of 1,024 descriptors while 24 are reserved, which leaves 333 for servers, not the 334 that Descriptors.OfDiscoveryAndServersAreNotTaken... asks for: a third of 1,000, rounded up.

Cause: usable sockets / 3 was rounded down and the rest went to clients. It is rounded up now.

--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -40,7 +40,8 @@
   return c.sockets - std::min(reserved, c.sockets / 2);
 }
 
-std::size_t server_sockets(const Config& c) { return usable_sockets(c) / 3; }
+/// A third, rounded up, is for servers.
+std::size_t server_sockets(const Config& c) { return (usable_sockets(c) + 2) / 3; }
 
 ClientSide::Limits client_limits(const Config& c) {
   ClientSide::Limits l;
--- a/tests/net/race_test.cpp
+++ b/tests/net/race_test.cpp
@@ -480,9 +480,12 @@
   RunningRouter router(
       {.dials = {old_cache.address()}, .discovery = discovery.address(), .sockets = 1024});
   std::vector<std::unique_ptr<Client>> idle_clients;
-  for (int k = 0; k < 1500; ++k) idle_clients.push_back(std::make_unique<Client>(router.port()));
   std::size_t clients = 0;
-  router.post([&](Router& r) { clients = r.client_connections(); });
+  for (int k = 0; k < 1500; ++k) {
+    idle_clients.push_back(std::make_unique<Client>(router.port()));
+    if (k % 10 == 9)
+      router.post([&](Router& r) { clients = std::max(clients, r.client_connections()); });
+  }
   EXPECT_GT(clients, 100u);
   EXPECT_LE(clients + 334 + 24, 1024u);
   up = true;
