What may run only once is not begun behind a value that may still break off

Callers saw: a write sent behind a read on one connection ran and was never answered, as the read's long value broke off and the connection was closed for it.

Cause: commands of a connection are begun at once, answers go in order, and a value that breaks off ends the order. A command whose class is not repeatable now waits on its connection, as read, until the reads before it are whole; it keeps its deadline, counts in the account of memory, and is refused after a half-close. Repeatable commands are begun at once, as before.

RequestCore looks a command's class up in one place.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -114,7 +114,7 @@
 }
 
 bool ClientConnection::may_parse() const {
-  if (input_ended() || closed_ || pipeline_full()) return false;
+  if (input_ended() || closed_ || held_ || pipeline_full()) return false;
   return slots_.empty() || side_.budget_.admits_pipelined_command();
 }
 
@@ -131,7 +131,12 @@
       case CommandReader::Got::Command:
         mark_command_received();
         command.waited = since_ - received_at;
-        handle_command(std::move(command));
+        if (must_hold(command)) {
+          held_ = std::make_unique<Command>(std::move(command));
+          held_since_ = received_at;
+        } else {
+          handle_command(std::move(command));
+        }
         break;
       case CommandReader::Got::Noop:
         mark_command_received();
@@ -149,8 +154,31 @@
   if (input_ended() || closed_) in = {};
 }
 
+/// A value that breaks off closes the connection: what has run behind it could not be answered.
+bool ClientConnection::must_hold(const Command& command) const {
+  auto may_break_off = [](const ResponseSlot& slot) { return slot.may_stream && !slot.done; };
+  return std::any_of(slots_.begin(), slots_.end(), may_break_off) &&
+         side_.handler_.may_have_effect(command);
+}
+
+void ClientConnection::release_held_command() {
+  if (!held_ || input_ended() || (!side_.closing_all_ && must_hold(*held_))) return;
+  std::unique_ptr<Command> command = std::move(held_);
+  command->waited = side_.io_.now() - held_since_;
+  handle_command(std::move(*command));
+}
+
+/// What was read whole is answered, also after a half-close.
+void ClientConnection::refuse_held_command() {
+  if (!held_) return;
+  side_.handler_.on_rejected(*held_);
+  side_.respond(PendingResponse(add_slot()), {}, Reply(Reply::Kind::Busy));
+  held_.reset();
+}
+
 void ClientConnection::handle_command(Command&& command) {
   ResponseSlot& slot = add_slot();
+  slot.may_stream = !command.set;
   if (peer_ended_) {
     side_.respond(PendingResponse(slot), {}, Reply(Reply::Kind::Failed));
     return;
@@ -184,6 +212,7 @@
 void ClientConnection::on_eof() {
   eof_ = true;
   std::string().swap(unparsed_);
+  refuse_held_command();
   watch_->read(false);
   if (quiescent()) {
     side_.close(*this, CloseReason::kClientClosed);
@@ -214,7 +243,7 @@
   }
   slot.connection = nullptr;
   slot.id = 0;
-  slot.done = slot.backpressured = slot.truncated = false;
+  slot.done = slot.backpressured = slot.truncated = slot.may_stream = false;
   spare.splice(spare.begin(), slots_, slots_.begin());
 }
 
@@ -243,6 +272,7 @@
 
 void ClientConnection::flush() {
   collect_output();
+  release_held_command();
   bool had_output = out_at_ < out_.size();
   while (out_at_ < out_.size()) {
     iovec rest{out_.data() + out_at_, out_.size() - out_at_};
@@ -296,6 +326,7 @@
 /// Without a reset, which could discard the responses before the value on their way.
 void ClientConnection::close_after_truncated_value() {
   std::string().swap(unparsed_);
+  held_.reset();
   side_.release_slots(*this);
   start_lingering_close(CloseReason::kValueTruncated);
   update_buffered();
@@ -355,7 +386,7 @@
 
 void ClientConnection::update_reading() {
   if (closed_ || eof_ || lingering_) return;
-  bool should_read = unparsed_.empty() && !input_ended() && !pipeline_full();
+  bool should_read = unparsed_.empty() && !held_ && !input_ended() && !pipeline_full();
   if (should_read == reading_) return;
   reading_ = should_read;
   watch_->read(should_read);
@@ -377,7 +408,8 @@
 
 void ClientConnection::update_buffered() {
   std::size_t output = std::max(buffered_output(), streams_ * ClientSide::kStreamBufferBytes);
-  std::size_t now = closed_ ? 0 : reader_.buffered() + unparsed_.size() + output;
+  std::size_t input = reader_.buffered() + unparsed_.size() + (held_ ? held_->size() : 0);
+  std::size_t now = closed_ ? 0 : input + output;
   side_.budget_.update(counted_bytes_, now);
 }
 
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <list>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -63,6 +64,9 @@
   std::size_t slot_bytes_ = 0;     // response bytes in the slots
   std::size_t counted_bytes_ = 0;  // counted in ClientSide::budget_
   std::size_t streams_ = 0;        // streamed values that have begun and not ended
+  /// A complete command that waits until the values before it on the connection are whole.
+  std::unique_ptr<Command> held_;
+  Micros held_since_ = 0;
   bool reading_ = true;
   bool eof_ = false;
   bool peer_ended_ = false;      // the client has closed: commands it sent before are not forwarded
@@ -91,6 +95,9 @@
   bool may_parse() const;
   void parse(std::string_view& in, Micros received_at);
   void parse_deferred();
+  bool must_hold(const Command& command) const;
+  void release_held_command();
+  void refuse_held_command();
   void handle_command(Command&& command);
   void mark_command_received();
   void on_eof();
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -37,6 +37,7 @@
   bool truncated = false;      ///< its streamed value ends here, incomplete
   bool pending = false;        ///< counted as a pending response
   bool streaming = false;      ///< buffers are set aside for its streamed value
+  bool may_stream = false;     ///< of a read: its value may break off once it has begun
 };
 
 /// The right to send the one final response that a client waits for. It can be moved but not
@@ -70,6 +71,9 @@
     /// A request was received. The number that the handler returns comes back in on_client_eof()
     /// and on_client_disconnected(); 0 if the request is answered already.
     virtual RequestId on_command(PendingResponse response, Command&& command) = 0;
+    /// Whether the command may run no more than once. Such a command is not begun while a response
+    /// before it may still break off, after which it could not be answered.
+    virtual bool may_have_effect(const Command& command) const = 0;
     /// A command was rejected before it became a request, as its connection is over the limit.
     virtual void on_rejected(const Command& command) = 0;
     /// The client has ended its sending side. Whether it still reads cannot be known from that.
--- a/src/net/request_actions.cpp
+++ b/src/net/request_actions.cpp
@@ -81,7 +81,7 @@
 bool RequestCore::claim_id(OpenRequest& open) {
   if (!open.attempts.empty()) return true;
   using violetusher::Effect;
-  const auto* type = class_of(open);
+  const auto* type = class_of(open.command);
   bool repeats_are_dropped =
       type && type->effect == Effect::Keyed && type->group == violetusher::Group::All;
   if (repeats_are_dropped || (type && type->effect == Effect::Repeatable)) return true;
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -40,16 +40,14 @@
 /// would make the responses of two requests indistinguishable.
 RequestId RequestCore::on_command(PendingResponse response, Command&& command) {
   const violetusher::Settings& settings = deps_.config.settings;
-  const auto& classes = settings.classes;
-  auto type = std::find_if(classes.begin(), classes.end(),
-                           [&](const auto& c) { return c.name == command.type; });
+  const violetusher::ClassSettings* type = class_of(command);
   const auto& tenants = settings.tenants;
   bool tenant = tenants.empty() || std::any_of(tenants.begin(), tenants.end(), [&](const auto& t) {
                   return t.name == command.tenant;
                 });
   RequestId id = table_.next_id();
-  bool keyed = type != classes.end() && type->effect == violetusher::Effect::Keyed;
-  if (type == classes.end() || !tenant || table_.has_client_id(command.id) ||
+  bool keyed = type && type->effect == violetusher::Effect::Keyed;
+  if (!type || !tenant || table_.has_client_id(command.id) ||
       (keyed && command.idempotency.empty()))
     return reject(id, std::move(response), command, kBadReply, Reason::kBadCommand);
   if (table_.full() || deps_.timers.size() >
@@ -206,15 +204,20 @@
   respond(open, reply, Reason::kNone);
 }
 
-const violetusher::ClassSettings* RequestCore::class_of(const OpenRequest& open) const {
+const violetusher::ClassSettings* RequestCore::class_of(const Command& command) const {
   for (const auto& one : deps_.config.settings.classes)
-    if (one.name == open.command.type) return &one;
+    if (one.name == command.type) return &one;
   return nullptr;
 }
 
+bool RequestCore::may_have_effect(const Command& command) const {
+  const auto* type = class_of(command);
+  return type && type->effect != violetusher::Effect::Repeatable;
+}
+
 /// The request has run: the client is told to try again only where that is harmless.
 const Reply& RequestCore::reply_without_room(const OpenRequest& open) const {
-  const auto* type = class_of(open);
+  const auto* type = class_of(open.command);
   return type && type->effect == violetusher::Effect::Repeatable ? kBusyReply : kFailedReply;
 }
 
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -81,6 +81,7 @@
 
   // ClientSide::Handler
   RequestId on_command(PendingResponse response, Command&& command) override;
+  bool may_have_effect(const Command& command) const override;
   void on_rejected(const Command& command) override {
     count_outcome(command.type, Reply::Kind::Busy);
   }
@@ -106,7 +107,7 @@
   void respond(OpenRequest& open, const Reply& reply, Reason why);
   void respond_with(OpenRequest& open, const Answer& answer);
   /// The settings of the request's class now; null if they have dropped it.
-  const violetusher::ClassSettings* class_of(const OpenRequest& open) const;
+  const violetusher::ClassSettings* class_of(const Command& command) const;
   const Reply& reply_without_room(const OpenRequest& open) const;
   bool within_retry_budget(OpenRequest& open);
   bool claim_id(OpenRequest& open);
--- a/tests/net/long_value_test.cpp
+++ b/tests/net/long_value_test.cpp
@@ -72,6 +72,81 @@
   EXPECT_EQ(no_end.take(in, answer), protocol::AnswerReader::Got::Broken);
 }
 
+/// Guards against writes that run and are never answered, as a long value before them on their
+/// connection breaks off.
+TEST(LongValue, AWriteBehindOneThatBreaksOffIsAnsweredOrHasNotRun) {
+  std::atomic<int> effects{0};
+  auto breaks_values_off = [&](const std::string& line, int) -> std::string {
+    if (line.rfind("ms ", 0) == 0) {
+      ++effects;
+      return "HD O" + id_of(line) + " cR\r\n";
+    }
+    if (line.rfind("mg ", 0) != 0) return {};
+    return head_of(id_of(line)) + " h1\r\n" + std::string(100'000, 'x');
+  };
+  LineServer first(breaks_values_off, true), second(breaks_values_off, true);
+  RunningRouter router({.dials = {first.address(), second.address()}, .once_class = true});
+  int answered = 0;
+  for (int k = 0; k < 10; ++k) {
+    std::string n = std::to_string(k);
+    Client client(router.port());
+    client.send(read_command("r" + n) + write_command("put", "w" + n, "1500") +
+                write_command("pay", "p" + n, "1500"));
+    std::string answers = client.read_all();
+    EXPECT_NE(answers.find(head_of("r" + n)), answers.npos);
+    for (const char* kind : {"w", "p"})
+      answered += answers.find("HD O" + (kind + n)) != answers.npos;
+  }
+  EXPECT_EQ(effects, answered);
+}
+
+/// Guards against writes that wait for a read before them for longer than that read is open.
+TEST(LongValue, AWriteBehindOneThatIsWholeIsServed) {
+  auto reply = [](const std::string& line, int) -> std::string {
+    if (line.rfind("ms ", 0) == 0) return "HD O" + id_of(line) + " cR\r\n";
+    return line.rfind("mg ", 0) == 0 ? long_answer(line, 100'000) : std::string();
+  };
+  LineServer cache(reply);
+  RunningRouter router({.dials = {cache.address()}});
+  Client client(router.port());
+  client.send(read_command("r") + write_command("put", "w", "1500") + read_command("s"));
+  EXPECT_EQ(client.line(), head_of("r", 100'000));
+  EXPECT_EQ(client.bytes(100'002), long_value(100'000) + "\r\n");
+  EXPECT_EQ(client.line(), "HD Ow cR");
+  EXPECT_EQ(client.line(), head_of("s", 100'000));
+}
+
+/// Guards against a write that waits for the read before it and is forgotten as the client ends its
+/// sending, or the router its work.
+TEST(LongValue, AWriteThatWaitsForAReadIsAnsweredInEveryEnd) {
+  std::atomic<int> effects{0};
+  LineServer silent([&](const std::string& line, int) {
+    effects += line.rfind("ms ", 0) == 0;
+    return std::string();
+  });
+  RunningRouter router({.dials = {silent.address()}, .once_class = true});
+  // The write's time is over before the read's.
+  auto send = [](Client& client, const std::string& id) {
+    client.send(read_command("r" + id, "k1", "400") + write_command("pay", "p" + id, "200"));
+  };
+  auto answers = [](Client& client) {
+    std::string first = client.line();
+    return first + ", " + client.line();
+  };
+  Client late(router.port()), half_closed(router.port()), stopped(router.port());
+  send(late, "1");
+  EXPECT_EQ(answers(late), "SERVER_ERROR busy, SERVER_ERROR busy");
+  send(half_closed, "2");
+  EXPECT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 1; }));
+  half_closed.end_sending();
+  EXPECT_EQ(answers(half_closed), "SERVER_ERROR failed, SERVER_ERROR busy");
+  send(stopped, "3");
+  EXPECT_TRUE(router.eventually([](Router& r) { return r.open_requests() == 1; }));
+  router.post([](Router& r) { r.stop(); });
+  EXPECT_EQ(answers(stopped), "SERVER_ERROR busy, SERVER_ERROR busy");
+  EXPECT_EQ(effects, 0);
+}
+
 /// Values requested at once on one connection: more than the kernel's buffers hold.
 constexpr int kValuesPerClient = 6;
 
