An answer that comes whole is taken without a detour, which wins back throughput

Callers saw nothing.

Cause, by counts of instructions a request (19,320 before the incident's mend, 19,617 after): the largest share, about 270, are two exchanges of the answer's record with the one under reception, which is needed only for a value that is not whole yet. A value that has come whole with its line is taken as it is.

--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -314,6 +314,14 @@
   return true;
 }
 
+/// The usual case: the value has come with its line.
+AnswerReader::Got AnswerReader::take_whole_value(std::string_view& in, Answer& answer) {
+  answer.value.assign(in.data(), remaining_);
+  in.remove_prefix(remaining_);
+  remaining_ = 0;
+  return strip_line_end(answer.value) ? Got::Answer : Got::Broken;
+}
+
 AnswerReader::Got AnswerReader::take(std::string_view& in, Answer& answer) {
   while (!in.empty()) {
     if (state_ == State::Line) {
@@ -331,8 +339,9 @@
         state_ = State::StreamedValue;
         return Got::Begin;
       }
+      if (in.size() >= remaining_) return take_whole_value(in, answer);
       std::swap(pending_, answer);
-      pending_.value.reserve(std::min(remaining_, in.size()));
+      pending_.value.reserve(in.size());
       state_ = State::Value;
     } else if (state_ == State::StreamedValue) {
       piece_ = in.substr(0, remaining_);
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -88,6 +88,7 @@
 
  private:
   enum class State { Line, Value, StreamedValue, StreamedValueEnd };
+  Got take_whole_value(std::string_view& in, Answer& answer);
   bool parse_line(std::string_view line, Answer& answer);
   void parse_report(std::string_view text, Answer& answer) const;
 
