A late copy of a refusal does not refuse the next request that may run only once

Callers saw: a request of class once ran at two to four servers. A second copy of SERVER_ERROR busy has no id: where it came after the next request had been sent on its connection, it was taken for that one's answer, which says that it never ran, and it was sent to another server as well.

A request of class once is not queued on a connection whose last answer without an id came less than 50 ms ago; it takes another one or dials, and counts as never sent where there is none. Other classes are as before: repeats of theirs are harmless or are dropped by key. What an attempt is sent with is one type, AttemptTerms.

--- a/src/net/request_actions.cpp
+++ b/src/net/request_actions.cpp
@@ -71,8 +71,10 @@
         now + wait,
         {.kind = Timers::Task::Kind::kAttemptTimeout, .attempt = attempt, .token = open->id});
   }
-  deps_.servers.send(action.server, action.id, attempt, open->command, now + wait,
-                     action.send_before);
+  const auto* type = class_of(open->command);
+  bool runs_once = type && type->effect == violetusher::Effect::Once;
+  deps_.servers.send(action.server, action.id, attempt, open->command,
+                     {now + wait, action.send_before, runs_once});
 }
 
 /// Claims the id of a request that no server keeps from running twice, before its first attempt. If
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -15,6 +15,8 @@
 // A dial that this machine cannot start is deferred for this long at most: five in a row, at five
 // servers, are over before the rejection that follows would be late.
 constexpr Micros kMaxDialDeferral = 15 * kMillisecond;
+// A second copy of an answer comes within this time of the first.
+constexpr Micros kCopyWindow = 50 * kMillisecond;
 // Capacity that the strings of an entry, and of an answer, keep for the next one.
 constexpr std::size_t kMaxKeptCommandBytes = 1024, kMaxKeptValueBytes = 4096;
 
@@ -224,6 +226,7 @@
     streaming_ = false;
     progress_.on_complete(in.size());
     admitted_ = false;
+    if (answer.id.empty()) answered_without_id_at_ = last_active_at_;
     bool last = answer.close_after;
     const QueuedAttempt& done = entries_.front();
     RequestId id = done.id;
@@ -293,8 +296,13 @@
   return true;
 }
 
-void ServerConnection::queue(RequestId id, int attempt, const Command& command, Micros deadline,
-                             Micros send_before) {
+bool ServerConnection::suits(bool runs_once) const {
+  return !runs_once || answered_without_id_at_ == 0 ||
+         side_.io_.now() - answered_without_id_at_ > kCopyWindow;
+}
+
+void ServerConnection::queue(RequestId id, int attempt, const Command& command,
+                             const ServerSide::AttemptTerms& terms) {
   QueuedAttempt& e = entries_.push();
   e.id = id;
   e.attempt = attempt;
@@ -306,9 +314,10 @@
   e.answer_id = command.id;
   e.bytes.clear();
   e.queued_at = e.since = last_active_at_ = side_.io_.now();
-  e.deadline = deadline;
-  e.send_before = send_before;
-  protocol::append_command(e.bytes, command, left_ms(deadline, e.since));
+  e.deadline = terms.deadline;
+  e.send_before = terms.send_before;
+  e.runs_once = terms.runs_once;
+  protocol::append_command(e.bytes, command, left_ms(e.deadline, e.since));
   e.size = e.bytes.size();
   e.time_left_begin = command.head.size();
   e.time_left_end = e.size - command.tail.size() - (command.set ? command.value.size() + 4 : 2);
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -43,6 +43,7 @@
     Micros since = 0;        // when queued, later when abandoned
     std::uint32_t type = 0;  // its class, as numbered by the activity recorder
     bool started = false;    // its first byte is written
+    bool runs_once = false;  // see ServerSide::AttemptTerms
 
     /// Replaces the time left in `bytes` by what is left at `now`.
     void update_time_left(Micros now);
@@ -61,8 +62,8 @@
   /// Nothing more is written; those behind it fail, those before it get their answers.
   void stop_writing();
   /// Queues an attempt behind all others. Nothing of it is written before flush().
-  void queue(RequestId id, int attempt, const Command& command, Micros deadline,
-             Micros send_before);
+  void queue(RequestId id, int attempt, const Command& command,
+             const ServerSide::AttemptTerms& terms);
   /// Queues an attempt that has waited on another connection.
   void take_over(QueuedAttempt&& entry);
   /// Streams the long value that is being received.
@@ -82,6 +83,9 @@
   void update_buffered();
   /// Established, with no attempt on it.
   bool idle() const { return !connecting_ && entries_.empty(); }
+  /// Whether an attempt may be queued: an answer without an id cannot be told from a late copy of
+  /// the one before it.
+  bool suits(bool runs_once) const;
   /// Whether a part of the entry at this index is written.
   bool started(std::size_t index) const {
     return index < sent_ || (index == sent_ && partial_ > 0);
@@ -118,7 +122,8 @@
   bool streaming_ = false;  // a streamed value is being passed on or dropped
   bool paused_ = false;     // not read until the client has read what came
   Micros last_active_at_;
-  Micros dial_until_;   // the dial fails if it takes longer
+  Micros answered_without_id_at_ = 0;  // when its last answer without an id came; 0 = never
+  Micros dial_until_;                  // the dial fails if it takes longer
   Micros defer_until_;  // a dial that this machine cannot start is retried until then
 
  private:
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -74,11 +74,15 @@
   /// Applies a host list: the addresses of servers, and which of them accept new attempts.
   void update_hosts(const HostList& list);
 
-  /// Sends one attempt. Its server is sent the time left until `deadline`, as of when the first
-  /// byte is written; an attempt that is not started before `send_before` fails. The handler may be
-  /// notified of its end before this returns.
+  /// The terms on which an attempt is sent.
+  struct AttemptTerms {
+    Micros deadline = 0;  ///< the server is sent the time left until then, as of the first byte
+    Micros send_before = violetusher::Send::kAnyTime;  ///< it fails unless it is started before
+    bool runs_once = false;  ///< a copy of an earlier refusal must not be taken for its answer
+  };
+  /// Sends one attempt. The handler may be notified of its end before this returns.
   void send(const std::string& server, RequestId id, int attempt, const Command& command,
-            Micros deadline, Micros send_before = violetusher::Send::kAnyTime);
+            const AttemptTerms& terms);
   /// Removes an attempt of which nothing is written yet; returns false if there is none.
   bool withdraw(const std::string& server, RequestId id, int attempt);
   /// Whether cancel() would close the attempt's connection, which is the only way to tell the
@@ -135,11 +139,11 @@
                                                  int attempt);
   void sweep();
   void trim_idle(ServerPool& pool);
-  ServerConnection* pick_connection(ServerPool& pool);
+  ServerConnection* pick_connection(ServerPool& pool, bool runs_once);
   enum class Connecting { kInclude, kExclude };
   /// The connection of the pool on which to queue one more attempt behind others; null if none is
   /// suitable. `connecting`: whether connections that are not established yet count.
-  ServerConnection* least_loaded(ServerPool& pool, Connecting connecting) const;
+  ServerConnection* least_loaded(ServerPool& pool, Connecting connecting, bool runs_once) const;
   /// Makes room for one more connection to `pool`'s server; returns false if all are in use.
   bool make_room(ServerPool& pool);
   ServerConnection* dial(ServerPool& pool);
--- a/tests/daemon/slow_peers_test.cpp
+++ b/tests/daemon/slow_peers_test.cpp
@@ -79,6 +79,27 @@
   std::uint16_t port_ = 0;
 };
 
+// ---- answers that come twice ----
+
+/// Guards against a late second copy of a refusal, which has no id, that refuses the next request
+/// of class once on its connection: that one ran at a second server as well.
+TEST_F(SlowPeers, ALateCopyOfARefusalDoesNotRefuseTheNextRequest) {
+  start([](const ReceivedCommand& c) -> std::vector<Piece> {
+    const std::string refusal = "SERVER_ERROR busy\r\n";
+    if (id_of(c.line)[0] == 'r') return {{0, refusal}, {8, refusal}};
+    return {{30, receipt_answer(c)}};
+  });
+  for (int k = 0; k < kRequests; ++k) {
+    std::string n = std::to_string(k);
+    ask(port_, write_command("pay", "r" + n, "900"));
+    EXPECT_TRUE(ask(port_, write_command("pay", "w" + n, "900")).served()) << n;
+  }
+  std::map<std::string, int> runs;
+  for (const auto& server : servers_)
+    for (const ReceivedCommand& c : server->commands()) runs[id_of(c.line)] += 1;
+  for (int k = 0; k < kRequests; ++k) EXPECT_EQ(runs["w" + std::to_string(k)], 1) << k;
+}
+
 // ---- answers that pause after their first byte ----
 
 TEST_F(SlowPeers, ALongValueWhoseBodyComesLateIsNotCutOff) {
--- a/tests/net/server_side_test.cpp
+++ b/tests/net/server_side_test.cpp
@@ -117,7 +117,7 @@
     std::string_view in = text;
     Command command;
     ASSERT_EQ(reader.take(in, command), CommandReader::Got::Command);
-    side->send("s-0", id, 0, command, io.now() + 60 * kSecond);
+    side->send("s-0", id, 0, command, {.deadline = io.now() + 60 * kSecond});
   }
   bool eventually(const std::function<bool()>& holds) {
     for (int k = 0; k < kTestTimeoutMs; ++k) {
