--- a/src/kit/soak/actors.cpp
+++ b/src/kit/soak/actors.cpp
@@ -19,6 +19,8 @@
 constexpr Micros kRetryInterval = 200 * kMillisecond;
 constexpr Micros kSlowStepInterval = 5 * kMillisecond;
 
+constexpr int kFieldsOfALongHead = 150, kLongHeadsAtOnce = 200;
+
 net::Fd connect_to(const std::string& address) {
   auto to = net::parse_address(address);
   net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
@@ -78,6 +80,16 @@
       ::shutdown(fd, SHUT_RDWR);
       return;
     }
+    case MisbehavingClients::Kind::kLongHeads: {
+      std::string fields;
+      for (int k = 0; k < kFieldsOfALongHead; ++k)
+        fields += ",f" + std::to_string(k) + "=" + number;
+      std::string lines;
+      for (int k = 0; k < kLongHeadsAtOnce; ++k)
+        lines += "mg k" + number + " v Oh" + number + "-" + std::to_string(k) +
+                 " Pc=price-lookup,t=selam-stores,d=300" + fields + "\r\n";
+      return send_all(fd, lines);
+    }
   }
 }
 
--- a/src/kit/soak/schedule.cpp
+++ b/src/kit/soak/schedule.cpp
@@ -49,7 +49,8 @@
     "gives_up = \"1s\"\nworth = 2\nkeyed = true\nvalue = \"48KiB\"\n";
 
 const char* name_of(MisbehavingClients::Kind kind) {
-  static const char* const kNames[] = {"misbehaving", "half-way", "flooding", "leaving"};
+  static const char* const kNames[] = {"misbehaving", "half-way", "flooding", "leaving",
+                                       "long-headed"};
   return kNames[static_cast<int>(kind)];
 }
 
@@ -106,7 +107,7 @@
     int crowds = between(0, 2);
     for (int k = 0; k < crowds; ++k) {
       misbehaving_clients();
-      s_.misbehaving.back().kind = static_cast<MisbehavingClients::Kind>(between(0, 3));
+      s_.misbehaving.back().kind = static_cast<MisbehavingClients::Kind>(between(0, 4));
     }
     int slow_crowds = between(0, 2);
     for (int k = 0; k < slow_crowds; ++k) slow_clients();
--- a/src/kit/soak/schedule.hpp
+++ b/src/kit/soak/schedule.hpp
@@ -41,10 +41,11 @@
 /// Clients that connect to harm others, and reconnect.
 struct MisbehavingClients {
   enum class Kind {
-    kIdle,     ///< send nothing, a partial command or a no-op
-    kHalfWay,  ///< stop within the value of a write
-    kFlood,    ///< send unsound lines as fast as they can
-    kLeavers,  ///< send many reads at once and close with the answers unread
+    kIdle,       ///< send nothing, a partial command or a no-op
+    kHalfWay,    ///< stop within the value of a write
+    kFlood,      ///< send unsound lines as fast as they can
+    kLeavers,    ///< send many reads at once and close with the answers unread
+    kLongHeads,  ///< send many commands at once, each of a head with very many short fields
   };
   int router = 0;
   int connections = 0;
