--- a/src/kit/rehearse/rules.cpp
+++ b/src/kit/rehearse/rules.cpp
@@ -107,16 +107,21 @@
       if (a->router >= router_count_) continue;
       Micros begun = a->first_byte - t.answered(), completed = a->last_byte - t.answered();
       if (begun > begin_grace)
-        add_violation(
-            kNoAttemptAfterAnswer, id_of(t), a->first_byte,
-            "attempt sent to " + name(a->server) + " " + kit::duration_text(begun) + what);
+        add_violation(kNoAttemptAfterAnswer, id_of(t), a->first_byte,
+                      at_router(t) + "attempt sent to " + name(a->server) + " " +
+                          kit::duration_text(begun) + what);
       else if (completed > kOrderSlack + kGivenUpGrace)
-        add_violation(
-            kNoAttemptAfterAnswer, id_of(t), a->last_byte,
-            "attempt at " + name(a->server) + " completed " + kit::duration_text(completed) + what);
+        add_violation(kNoAttemptAfterAnswer, id_of(t), a->last_byte,
+                      at_router(t) + "attempt at " + name(a->server) + ", begun " +
+                          kit::duration_text(-begun) + " before, completed " +
+                          kit::duration_text(completed) + what);
     }
   }
 
+  static std::string at_router(const kit::TryRecord& t) {
+    return "r" + std::to_string(t.router + 1) + ": ";
+  }
+
   /// Describes the outcome of each attempt for a message.
   std::string describe_attempts(const AttemptIndex::Attempts& attempts) const {
     std::string text;
@@ -219,7 +224,7 @@
         requests_partly_read(last, t.ended) || client_must_retry(t))
       return;
     add_violation(kAnsweredAtOnce, id_of(t), t.ended,
-                  std::string(t.end == TryEnd::kRefused ? "refused" : "failed") + " " +
+                  at_router(t) + (t.end == TryEnd::kRefused ? "refused" : "failed") + " " +
                       kit::duration_text(idle) + " after its last activity (" +
                       describe_attempts(attempts) + ")");
   }
