Nothing is written behind a large request that its server has yet to take

Callers saw: a request that was answered, or given up, reached its server up to 1.1 s afterwards and ran there.

Cause: where several attempts share a connection, all are handed to the system at once, which holds megabytes; a server that reads slowly takes them long after their end, and the connection can't be reset for the sake of the others on it. Behind a request of over 8 KB nothing is written now until the server's system has taken it. So what waits behind it is still unsent: it fails as never sent when the large one is given up, and the connection is closed once nobody waits on it.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -143,7 +143,7 @@
 void ServerConnection::flush() {
   if (connecting_ || write_stopped_) return;
   refresh_unsent();
-  while (sent_ < entries_.size()) {
+  while (sent_ < entries_.size() && (partial_ > 0 || !holds_back())) {
     iovec parts[64];
     std::size_t count = 0;
     std::size_t skip = partial_;
@@ -151,6 +151,7 @@
       std::string& bytes = entries_[k].bytes;
       parts[count++] = {bytes.data() + skip, bytes.size() - skip};
       skip = 0;
+      if (entries_[k].is_large()) break;
     }
     ssize_t sent = side_.io_.send(socket_.number(), parts, count);
     if (sent == Io::kAgain) {
@@ -252,7 +253,9 @@
     side_.close(*this, CloseReason::kDrained);
   else
     side_.reassign_deferred(pool_);
-  if (!closed_) require_room();
+  if (closed_) return;
+  require_room();
+  if (sent_ < entries_.size()) side_.mark_dirty(*this);
 }
 
 /// A value is streamed on only after more of it has come than accompanies a false length. Until
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -25,6 +25,8 @@
 /// One connection to a cache server and the attempts queued on it.
 class ServerConnection final : Watch::Target {
  public:
+  static constexpr std::size_t kLargeRequestBytes = 8u << 10;
+
   /// An attempt from its queueing until its answer.
   struct QueuedAttempt {
     RequestId id = 0;
@@ -45,6 +47,8 @@
     bool started = false;    // its first byte is written
     bool runs_once = false;  // see ServerSide::AttemptTerms
 
+    /// Too large for a server's system to take at once, however slowly the server reads.
+    bool is_large() const { return size > kLargeRequestBytes; }
     /// Replaces the time left in `bytes` by what is left at `now`.
     void update_time_left(Micros now);
   };
@@ -73,6 +77,9 @@
   /// Ends the attempts at the back that are entirely unwritten and were queued before `since`.
   void drop_unsent(Micros since);
 
+  /// Whether the server's system has yet to take a large request. What is behind it is not written
+  /// meanwhile: the system would send it on, however long after its end.
+  bool holds_back() const;
   /// Whether the server has taken a part of what was written since the last call, or has begun to.
   bool request_progresses();
   /// How far the attempt at this index is.
--- a/src/net/server_connection_limits.cpp
+++ b/src/net/server_connection_limits.cpp
@@ -17,6 +17,12 @@
 
 }  // namespace
 
+bool ServerConnection::holds_back() const {
+  bool large = false;
+  for (std::size_t k = 0; k < sent_ && !large; ++k) large = entries_[k].is_large();
+  return large && side_.io_.untaken(socket_.number()) > 0;
+}
+
 bool ServerConnection::request_progresses() {
   std::size_t untaken = side_.io_.untaken(socket_.number());
   if (partial_ > 0) untaken += entries_[sent_].size - partial_;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -218,6 +218,7 @@
   }
   e.live = false;
   e.since = io_.now();
+  if (index + 1 == c->sent_ && c->holds_back()) c->drop_unsent(io_.now() + 1);
   // Only closing the connection tells the server that nobody waits any more, so that it may drop
   // what it has not started. With many clients that leave early, abandoned attempts filled the
   // servers. The price is a new connection, some milliseconds of the server's work, which is wasted
--- a/src/net/server_sweep.cpp
+++ b/src/net/server_sweep.cpp
@@ -62,6 +62,11 @@
       c.drop_unsent(now - limits_.dial_timeout);
       c.report_pause(now);
       if (c.closed_) continue;
+      if (c.holds_back() && !c.entries_.front().live && c.abandoned()) {
+        close(c, CloseReason::kAbandoned);
+        continue;
+      }
+      if (c.sent_ < c.entries_.size()) mark_dirty(c);  // what was held back may go by now
       if (auto reason = c.timed_out(now)) close(c, *reason);
     }
     // The state of a server that was removed, by a whole list or by a change, is freed once its
--- a/tests/daemon/slow_peers_test.cpp
+++ b/tests/daemon/slow_peers_test.cpp
@@ -219,6 +219,32 @@
   EXPECT_EQ(commands_run(), 0) << daemon_->log();
 }
 
+/// Guards against requests that the system sends on after their time, as they share a connection
+/// with others that their server reads slowly.
+TEST_F(SlowPeers, RequestsThatShareASlowlyReadConnectionAreNotSentAfterTheirTime) {
+  options_.streams = 8;
+  options_.sockets = 64;
+  servers_.push_back(std::make_unique<PacedServer>(store, kSlowReading));
+  start(nullptr);
+  std::vector<std::string> commands;
+  for (int k = 0; k < 3 * kRequests; ++k) {
+    bool hurried = k % 2 == 1;
+    std::string id = (hurried ? "hurried-" : "patient-") + std::to_string(k);
+    commands.push_back(write_command("put", id, hurried ? "300" : "1000", value_of(20'000)));
+  }
+  SteadyTime sent = std::chrono::steady_clock::now();
+  ask_all(port_, commands);
+  sleep_ms(1500);
+  std::vector<ReceivedCommand> received = servers_[0]->commands();
+  std::vector<SteadyTime> times = servers_[0]->times();
+  int late = 0;
+  for (std::size_t k = 0; k < received.size(); ++k) {
+    int time_ms = id_of(received[k].line).rfind("hurried", 0) == 0 ? 300 : 1000;
+    late += ms_between(sent, times[k]) > time_ms + kAnswerSlackMs;
+  }
+  EXPECT_EQ(late, 0) << daemon_->log();
+}
+
 /// The final answers keep their time through a restart and new settings, and nothing of a request
 /// is sent after it.
 TEST_F(SlowPeers, RequestsThatAreReadSlowlyKeepTheirTimeThroughSignals) {
