Kit: one tolerance for the order of events, one way to connect a soak's client

The soak had copies of the oracle's tolerance of 50 ms (once as a bare number) and of the function that connects a client.

--- a/src/kit/rehearse/oracle.hpp
+++ b/src/kit/rehearse/oracle.hpp
@@ -92,6 +92,9 @@
 };
 
 inline constexpr std::size_t kMostFindings = 20;
+/// Tolerance for the order of events that two threads of the rig record, with kernel buffers
+/// between them.
+inline constexpr Micros kOrderSlack = 50'000;
 inline constexpr Micros kWindow = 5'000'000;
 inline constexpr Micros kHeadOfLineThreshold = 1'000;
 
--- a/src/kit/rehearse/rules.cpp
+++ b/src/kit/rehearse/rules.cpp
@@ -11,9 +11,6 @@
 using kit::Answered;
 using kit::TryEnd;
 
-// Tolerance for the order of events that two threads of the rig record, with kernel buffers between
-// them.
-constexpr Micros kOrderSlack = 50'000;
 // A request may still go out for this long after its client has left, and be written to its end for
 // this long after its answer.
 constexpr Micros kGivenUpGrace = 100'000;
--- a/src/kit/soak/actors.cpp
+++ b/src/kit/soak/actors.cpp
@@ -21,14 +21,6 @@
 
 constexpr int kFieldsOfALongHead = 150, kLongHeadsAtOnce = 200;
 
-net::Fd connect_to(const std::string& address) {
-  auto to = net::parse_address(address);
-  net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  if (!to || ::connect(fd.get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0)
-    return net::Fd();
-  return fd;
-}
-
 /// Sends a command line and returns the response; what was received by the timeout if it is
 /// incomplete.
 std::string send_command(const std::string& address, const std::string& line) {
--- a/src/kit/soak/run.cpp
+++ b/src/kit/soak/run.cpp
@@ -27,8 +27,6 @@
 constexpr Micros kPidRefreshInterval = 5'000;
 constexpr const char* kBansKept = "bans-kept";
 constexpr const char* kSlowClientCut = "slow-client-cut-off";
-// Tolerance for the order of events that several threads record.
-constexpr Micros kOrderSlack = 50'000;
 
 /// A temporary directory, removed at the end of the run.
 class TemporaryDirectory {
@@ -126,7 +124,7 @@
     if (life.router != session.router || life.ready == 0 || life.ready > session.began)
       return false;
     Micros last = life.signalled ? life.signalled : life.ended ? life.ended : history.ended;
-    return session.ended + kOrderSlack < last;
+    return session.ended + rehearse::kOrderSlack < last;
   });
 }
 
@@ -234,7 +232,9 @@
   for (const auto& f : verdict.findings)
     result.findings.push_back({f.rule, "at " + ms_of(f.at) + ", " + f.request + ": " + f.what});
   for (const std::string& line : played.violations) result.findings.push_back({"invariant", line});
-  if (actors) check_bans(actors->calls(), played.history, day.expect.drain_grace + 50'000, result);
+  if (actors)
+    check_bans(actors->calls(), played.history, day.expect.drain_grace + rehearse::kOrderSlack,
+               result);
   if (actors) check_slow_clients(actors->slow_sessions(), played.history, result);
   for (const auto& setup : setups) result.faults += lines_of(setup->log);
   bool conclusive = result.outcome != rehearse::Outcome::kInconclusive;
--- a/src/kit/soak/slow_clients.cpp
+++ b/src/kit/soak/slow_clients.cpp
@@ -20,15 +20,6 @@
 // Else the system takes the answers however slowly they are read.
 constexpr int kReceiveBufferBytes = 8 << 10;
 
-net::Fd connect_slowly(const std::string& address) {
-  auto to = net::parse_address(address);
-  net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  if (!to || !fd) return net::Fd();
-  ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof kReceiveBufferBytes);
-  if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0) return net::Fd();
-  return fd;
-}
-
 std::string reads(std::uint64_t number) {
   std::string commands;
   for (int k = 0; k < kReadsInOneGo; ++k) {
@@ -55,9 +46,19 @@
 
 }  // namespace
 
+net::Fd connect_to(const std::string& address, int receive_buffer) {
+  auto to = net::parse_address(address);
+  net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  if (!to || !fd) return net::Fd();
+  if (receive_buffer > 0)
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+  if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0) return net::Fd();
+  return fd;
+}
+
 SlowSession::SlowSession(int router, SlowClients::Kind kind, const std::string& address,
                          std::uint64_t number, Micros now)
-    : fd_(connect_slowly(address)), kind_(kind) {
+    : fd_(connect_to(address, kReceiveBufferBytes)), kind_(kind) {
   bool reader = kind == SlowClients::Kind::kReaders;
   out_ = reader ? reads(number) : write(number);
   record_.router = router;
--- a/src/kit/soak/slow_clients.hpp
+++ b/src/kit/soak/slow_clients.hpp
@@ -10,6 +10,9 @@
 
 namespace violetusher::soak {
 
+/// A connection to a router; none if it can't be had. `receive_buffer`: 0 = the system's default.
+net::Fd connect_to(const std::string& address, int receive_buffer = 0);
+
 /// What became of one slow connection.
 struct SlowSessionRecord {
   int router = 0;
