--- a/src/kit/common/history.hpp
+++ b/src/kit/common/history.hpp
@@ -34,9 +34,12 @@
   /// When the last byte of its answer was written or its connection ended; 0: neither happened. The
   /// sender of the attempt can know of its end from here on.
   Micros ended = 0;
-  /// Of an answer that is written slowly: when its last byte would have been written if nobody had
-  /// closed. 0: it was written at once.
-  Micros would_end = 0;
+  /// When the last byte of the command arrived in the receive buffer.
+  Micros last_byte = 0;
+  /// Of an answer that is written slowly: when all of it that its client is owed by its deadline
+  /// would have been written if nobody had closed: the whole answer, or the line of a long value.
+  /// 0: it was written at once.
+  Micros would_suffice = 0;
   Answered answered = Answered::kNothing;
   bool missed = false;      ///< a read of a key that was not in the price cache
   bool repeat = false;      ///< a write that was not executed, as its key had run before
@@ -70,6 +73,7 @@
   kClosed,    ///< the router closed the connection without an answer
   kNoRouter,  ///< no connection was established, so no request was accepted
   kSilent,    ///< no answer within `wait` and the tolerance of the rules
+  kCutOff,    ///< the router closed the connection within a long value
   kLeft,      ///< the till closed the connection early, as planned
 };
 
@@ -82,11 +86,15 @@
   Micros sent = 0;      ///< its last byte was written; 0 = never
   Micros wait = 0;      ///< field `d` of the request
   Micros ended = 0;
+  Micros begun = 0;  ///< of a long value: when its line was received; 0 = never
   TryEnd end = TryEnd::kOpen;
   bool kept_connection = false;  ///< written to a connection that was used before
   bool extra = false;            ///< bytes followed the answer
   std::uint64_t value = 0;       ///< hash of the value or receipt, where served
   Micros retry_after = 0;        ///< the retry time in a refusal
+
+  /// When the till had its answer: a long value counts from its beginning.
+  Micros answered() const { return begun ? begun : ended; }
 };
 
 /// One run of a router process.
--- a/src/kit/rehearse/day.hpp
+++ b/src/kit/rehearse/day.hpp
@@ -25,7 +25,8 @@
   Micros latency_objective = 150'000, deadline = 600'000;
   /// Worth per unit of work within the objective, and the fraction of it left until the deadline.
   double worth = 1, late_worth = 0.27;
-  bool keyed = false;  ///< a write that carries an idempotency key
+  bool keyed = false;             ///< a write that carries an idempotency key
+  std::uint64_t value_bytes = 0;  ///< least size of a written value
 };
 
 /// A tenant of the routers: a brand of stores.
--- a/src/kit/rehearse/tills.hpp
+++ b/src/kit/rehearse/tills.hpp
@@ -48,6 +48,11 @@
   /// Schedules the next request of the plan.
   void next_request();
   void send(std::uint64_t request, int number, Micros intended);
+  /// The connection on which a try is in progress; null if it has ended.
+  Connection* carrier_of(std::size_t target, std::uint64_t try_index);
+  void leave(Connection& carrier, std::uint64_t try_index, kit::TryEnd how);
+  /// Leaves at `at`, or later if a long value has begun by then and goes on.
+  void leave_when_silent(std::size_t target, std::uint64_t try_index, Micros at);
   /// Records the end of a try, and schedules a retry if it was not served.
   void ended(std::uint64_t try_index, kit::TryEnd end);
   void finish_if_done();
--- a/src/kit/soak/actors.cpp
+++ b/src/kit/soak/actors.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 
 namespace violetusher::soak {
 namespace {
@@ -16,6 +17,7 @@
 constexpr Micros kResponseTimeout = 2 * kSecond;
 // A call that failed because its router was down is retried.
 constexpr Micros kRetryInterval = 200 * kMillisecond;
+constexpr Micros kSlowStepInterval = 5 * kMillisecond;
 
 net::Fd connect_to(const std::string& address) {
   auto to = net::parse_address(address);
@@ -91,6 +93,8 @@
   for (const Signals& one : schedule_.signals) threads_.emplace_back([this, &one] { signal(one); });
   for (const MisbehavingClients& one : schedule_.misbehaving)
     threads_.emplace_back([this, &one] { misbehaving_clients(one); });
+  for (const SlowClients& one : schedule_.slow_clients)
+    threads_.emplace_back([this, &one] { slow_clients(one); });
 }
 
 void Actors::join() {
@@ -140,6 +144,31 @@
   }
 }
 
+/// Steps all sessions of a crowd; starts new ones until its end, then lets the open ones finish.
+void Actors::slow_clients(const SlowClients& clients) {
+  if (!wait_until(clients.from)) return;
+  const std::string& address = routers_[static_cast<std::size_t>(clients.router)].clients;
+  std::vector<std::unique_ptr<SlowSession>> open(static_cast<std::size_t>(clients.connections));
+  bool all_ended = false;
+  while (!stop_ && !all_ended) {
+    Micros now = clock_->now();
+    all_ended = now >= origin_ + clients.until;
+    for (auto& session : open) {
+      if (!session && now < origin_ + clients.until)
+        session = std::make_unique<SlowSession>(clients.router, clients.kind, address,
+                                                next_slow_session_++, now);
+      if (!session) continue;
+      session->step(now);
+      all_ended = all_ended && session->ended();
+      if (!session->ended()) continue;
+      std::lock_guard lock(mutex_);
+      if (session->record().connected) slow_sessions_.push_back(session->record());
+      session.reset();
+    }
+    std::this_thread::sleep_for(std::chrono::microseconds(kSlowStepInterval));
+  }
+}
+
 /// Connects the clients, and closes and reconnects them in turn.
 void Actors::misbehaving_clients(const MisbehavingClients& misbehaving_clients) {
   if (!wait_until(misbehaving_clients.from)) return;
--- a/src/kit/soak/actors.hpp
+++ b/src/kit/soak/actors.hpp
@@ -11,6 +11,7 @@
 
 #include "net/system_io.hpp"
 #include "schedule.hpp"
+#include "slow_clients.hpp"
 
 namespace violetusher::soak {
 
@@ -39,6 +40,8 @@
   void join();
   /// The operator calls in the order in which they were made; valid after join().
   const std::vector<BanCall>& calls() const { return calls_; }
+  /// The slow connections that ended by themselves; valid after join().
+  const std::vector<SlowSessionRecord>& slow_sessions() const { return slow_sessions_; }
 
  private:
   bool wait_until(Micros at) const;
@@ -46,6 +49,7 @@
   void call(const Ban& ban, bool offline);
   void signal(const Signals& signals);
   void misbehaving_clients(const MisbehavingClients& misbehaving_clients);
+  void slow_clients(const SlowClients& clients);
 
   const Schedule& schedule_;
   std::vector<Router> routers_;
@@ -54,6 +58,8 @@
   std::atomic<bool> stop_{false};
   std::mutex mutex_;
   std::vector<BanCall> calls_;
+  std::vector<SlowSessionRecord> slow_sessions_;
+  std::atomic<std::uint64_t> next_slow_session_{1};
   std::vector<std::thread> threads_;
 };
 
--- a/src/kit/soak/command.cpp
+++ b/src/kit/soak/command.cpp
@@ -85,16 +85,19 @@
           {"served", result.served},
           {"failing_calls", result.faults},
           {"bans", result.bans},
+          {"slow_sessions", result.slow_sessions},
           {"findings", findings}};
 }
 
 void print_result(std::uint64_t seed, const RunResult& result) {
-  std::printf("seed %llu: %s, %llu requests, %llu served, %llu calls failed, %llu bans\n",
-              static_cast<unsigned long long>(seed), outcome_text(result.outcome),
-              static_cast<unsigned long long>(result.requests),
-              static_cast<unsigned long long>(result.served),
-              static_cast<unsigned long long>(result.faults),
-              static_cast<unsigned long long>(result.bans));
+  std::printf(
+      "seed %llu: %s, %llu requests, %llu served, %llu calls failed, %llu bans, "
+      "%llu slow sessions\n",
+      static_cast<unsigned long long>(seed), outcome_text(result.outcome),
+      static_cast<unsigned long long>(result.requests),
+      static_cast<unsigned long long>(result.served),
+      static_cast<unsigned long long>(result.faults), static_cast<unsigned long long>(result.bans),
+      static_cast<unsigned long long>(result.slow_sessions));
   if (result.outcome == Outcome::kInconclusive) std::printf("  %s\n", result.headline.c_str());
   for (std::size_t k = 0; k < result.findings.size() && k < kMaxPrintedFindings; ++k)
     std::printf("  %s: %s\n", result.findings[k].rule.c_str(), result.findings[k].what.c_str());
--- a/src/kit/soak/run.cpp
+++ b/src/kit/soak/run.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdlib>
 #include <filesystem>
@@ -25,6 +26,9 @@
 constexpr Micros kSecond = 1'000'000;
 constexpr Micros kPidRefreshInterval = 5'000;
 constexpr const char* kBansKept = "bans-kept";
+constexpr const char* kSlowClientCut = "slow-client-cut-off";
+// Tolerance for the order of events that several threads record.
+constexpr Micros kOrderSlack = 50'000;
 
 /// A temporary directory, removed at the end of the run.
 class TemporaryDirectory {
@@ -116,6 +120,33 @@
   }
 }
 
+/// Whether one process of the router, undisturbed, was there for the whole session.
+bool router_lived_through(const SlowSessionRecord& session, const kit::History& history) {
+  return std::any_of(history.lives.begin(), history.lives.end(), [&](const kit::RouterLife& life) {
+    if (life.router != session.router || life.ready == 0 || life.ready > session.began)
+      return false;
+    Micros last = life.signalled ? life.signalled : life.ended ? life.ended : history.ended;
+    return session.ended + kOrderSlack < last;
+  });
+}
+
+/// Checks that a client which goes on reading or writing gets all of its answers. One that was
+/// within a long value is not judged: its server may have broken it off.
+void check_slow_clients(const std::vector<SlowSessionRecord>& sessions, const kit::History& history,
+                        RunResult& result) {
+  for (const SlowSessionRecord& session : sessions) {
+    ++result.slow_sessions;
+    if (!session.closed || session.within_long_value) continue;
+    if (!router_lived_through(session, history)) continue;
+    result.findings.push_back(
+        {kSlowClientCut, "at " + ms_of(session.ended - history.origin) + ": r" +
+                             std::to_string(session.router + 1) + " closed a connection after " +
+                             ms_of(session.ended - session.began) + ", with " +
+                             std::to_string(session.answers) + " of " +
+                             std::to_string(session.commands) + " answers given"});
+  }
+}
+
 std::vector<std::string> environment_of(const RouterSetup& setup, const Programs& programs,
                                         Micros origin) {
   return {faults::kSanitizerOptions,
@@ -204,6 +235,7 @@
     result.findings.push_back({f.rule, "at " + ms_of(f.at) + ", " + f.request + ": " + f.what});
   for (const std::string& line : played.violations) result.findings.push_back({"invariant", line});
   if (actors) check_bans(actors->calls(), played.history, day.expect.drain_grace + 50'000, result);
+  if (actors) check_slow_clients(actors->slow_sessions(), played.history, result);
   for (const auto& setup : setups) result.faults += lines_of(setup->log);
   bool conclusive = result.outcome != rehearse::Outcome::kInconclusive;
   if (conclusive && !result.findings.empty()) result.outcome = rehearse::Outcome::kFail;
--- a/src/kit/soak/run.hpp
+++ b/src/kit/soak/run.hpp
@@ -26,9 +26,10 @@
   std::string headline;
   std::vector<Finding> findings;
   std::uint64_t requests = 0, served = 0;
-  std::uint64_t faults = 0;  ///< injected faults
-  std::uint64_t bans = 0;    ///< bans that a router accepted
-  std::string router_logs;   ///< logs of routers that exited abnormally
+  std::uint64_t faults = 0;         ///< injected faults
+  std::uint64_t bans = 0;           ///< bans that a router accepted
+  std::uint64_t slow_sessions = 0;  ///< connections of slow clients that ended by themselves
+  std::string router_logs;          ///< logs of routers that exited abnormally
 };
 
 /// Runs the schedule. Throws std::runtime_error if a socket, thread or process can't be created.
--- a/src/kit/soak/schedule.cpp
+++ b/src/kit/soak/schedule.cpp
@@ -38,6 +38,16 @@
     {"open path=/proc/self/fd/3 error=ENFILE|EIO", true},
 };
 
+// Values of all sizes around the buffers' sizes, and long ones, which are passed on as they come.
+constexpr const char* kLargeValues =
+    "\n[fleet]\nvalue_low = \"64B\"\nvalue_high = \"40KiB\"\nlong_share = 0.1\nlong_high = "
+    "\"200KiB\"";
+// The usual classes, but for the size of what is written.
+constexpr const char* kLargeWrites =
+    "[[tills.class]]\nname = \"price-lookup\"\nshare = 0.9\nworth = 3\n"
+    "[[tills.class]]\nname = \"sale-record\"\nshare = 0.1\nwork = \"45ms\"\nwanted = \"250ms\"\n"
+    "gives_up = \"1s\"\nworth = 2\nkeyed = true\nvalue = \"48KiB\"\n";
+
 const char* name_of(MisbehavingClients::Kind kind) {
   static const char* const kNames[] = {"misbehaving", "half-way", "flooding", "leaving"};
   return kNames[static_cast<int>(kind)];
@@ -82,6 +92,7 @@
     int slow = between(2, 4);
     for (int k = 0; k < slow; ++k) slow_answers();
     if (chance(0.5)) spoilt_answers();
+    if (chance(0.6)) slow_reading();
     int restarts = between(1, 3);
     for (int k = 0; k < restarts; ++k)
       add("router-restarts", random_time(), 0,
@@ -97,6 +108,8 @@
       misbehaving_clients();
       s_.misbehaving.back().kind = static_cast<MisbehavingClients::Kind>(between(0, 3));
     }
+    int slow_crowds = between(0, 2);
+    for (int k = 0; k < slow_crowds; ++k) slow_clients();
     return std::move(s_);
   }
 
@@ -126,6 +139,19 @@
     add(kKinds[between(0, 4)], at, until, "part = 0.3\nrate = 0.2\n");
   }
 
+  /// Large writes are read in parts, some beyond their deadline.
+  void slow_reading() {
+    Micros at = random_time();
+    Micros until = at + span(kSecond, 4 * kSecond);
+    static const char* const kParts[] = {"0.2", "0.5"};
+    std::string part = kParts[between(0, 1)];
+    int bytes = 1024 << between(0, 3);
+    Micros delay = span(5 * kMillisecond, 40 * kMillisecond);
+    add("reads-slowly", at, until,
+        "part = " + part + "\nbytes = \"" + std::to_string(bytes) + "B\"\ndelay = \"" + ms(delay) +
+            "\"\n");
+  }
+
   int between(int from, int to) { return std::uniform_int_distribution<int>(from, to)(random_); }
   Micros span(Micros from, Micros to) {
     return std::uniform_int_distribution<Micros>(from, to)(random_);
@@ -244,6 +270,16 @@
         {router(), between(100, 280), from, from + span(kSecond, 4 * kSecond)});
   }
 
+  void slow_clients() {
+    SlowClients clients;
+    clients.router = router();
+    clients.connections = between(5, 40);
+    clients.from = random_time();
+    clients.until = clients.from + span(kSecond, 4 * kSecond);
+    if (chance(0.5)) clients.kind = SlowClients::Kind::kWriters;
+    s_.slow_clients.push_back(clients);
+  }
+
   std::mt19937_64 random_;
   Schedule s_;
   Micros length_ = 0;
@@ -263,14 +299,15 @@
 }  // namespace
 
 std::size_t Schedule::size() const {
-  return events.size() + failing.size() + bans.size() + signals.size() + misbehaving.size();
+  return events.size() + failing.size() + bans.size() + signals.size() + misbehaving.size() +
+         slow_clients.size();
 }
 
 Schedule Schedule::without(std::size_t item) const {
   Schedule reduced = *this;
   bool erased = erase_item(reduced.events, item) || erase_item(reduced.failing, item) ||
                 erase_item(reduced.bans, item) || erase_item(reduced.signals, item) ||
-                erase_item(reduced.misbehaving, item);
+                erase_item(reduced.misbehaving, item) || erase_item(reduced.slow_clients, item);
   (void)erased;
   return reduced;
 }
@@ -280,7 +317,7 @@
   for (int r = 0; r < routers; ++r)
     zones += (r > 0 ? ", \"" : "\"") + std::string(kZoneNames[r % kZones]) + "\"";
   bool slow_peers = profile == Profile::kSlowPeers;
-  std::string fleet = slow_peers ? "\n[fleet]\nvalue_low = \"64B\"\nvalue_high = \"40KiB\"" : "";
+  std::string fleet = slow_peers ? kLargeValues : "";
   std::string text = "name = \"soak\"\nlength = \"" + ms(static_cast<Micros>(seconds * kSecond)) +
                      "\"\nseed = " + std::to_string(seed % 1'000'000) + fleet +
                      "\n[[fleet.servers]]\nkind = \"std-4c\"\ncount = " + std::to_string(servers) +
@@ -288,7 +325,7 @@
                      "\nnotice = \"100ms\"\ncalls = \"" + std::to_string(20 + 3 * routers) +
                      "/s\"\n[routers]\nhalls = [" + zones + "]\n[tills]\nrate = \"" +
                      std::to_string(static_cast<int>(rate)) +
-                     "/s\"\nkeys = 2000\nimpatient = 0.03\n"
+                     "/s\"\nkeys = 2000\nimpatient = 0.03\n" + (slow_peers ? kLargeWrites : "") +
                      "[rig]\nlate_p99 = \"50ms\"\nlate_worst = \"1s\"\n";
   for (const DayEvent& event : events) text += event.text;
   return text;
@@ -315,6 +352,10 @@
   for (const MisbehavingClients& one : misbehaving)
     text += "# r" + std::to_string(one.router + 1) + ": " + std::to_string(one.connections) + " " +
             name_of(one.kind) + " clients from " + ms(one.from) + " until " + ms(one.until) + "\n";
+  for (const SlowClients& one : slow_clients)
+    text += "# r" + std::to_string(one.router + 1) + ": " + std::to_string(one.connections) +
+            (one.kind == SlowClients::Kind::kReaders ? " slow readers" : " slow writers") +
+            " from " + ms(one.from) + " until " + ms(one.until) + "\n";
   return text;
 }
 
--- a/src/kit/soak/schedule.hpp
+++ b/src/kit/soak/schedule.hpp
@@ -52,10 +52,20 @@
   Kind kind = Kind::kIdle;
 };
 
+/// Sound clients that read or write slowly; they connect at `from`, in place of one that has ended
+/// another connects until `until`.
+struct SlowClients {
+  enum class Kind { kReaders, kWriters };
+  int router = 0;
+  int connections = 0;
+  Micros from = 0, until = 0;
+  Kind kind = Kind::kReaders;
+};
+
 /// What a run is mostly about.
 enum class Profile {
   kMixed,      ///< failing system calls, bans, restarts, bad servers
-  kSlowPeers,  ///< servers that are slow within their answers, clients that stop half way or leave
+  kSlowPeers,  ///< servers and clients that read or write slowly, stop half way or leave
 };
 
 /// All items of a run and the parameters of its day.
@@ -71,6 +81,7 @@
   std::vector<Ban> bans;
   std::vector<Signals> signals;
   std::vector<MisbehavingClients> misbehaving;
+  std::vector<SlowClients> slow_clients;
 
   /// Number of items that can be removed.
   std::size_t size() const;
--- a/src/kit/standin/connection.cpp
+++ b/src/kit/standin/connection.cpp
@@ -83,6 +83,12 @@
     marks_.push_back({end, now});
 }
 
+Micros ArrivalTimes::arrival_of(std::uint64_t count, Micros now) const {
+  for (const Mark& mark : marks_)
+    if (mark.end >= read_ + count) return mark.at;
+  return now;
+}
+
 void ArrivalTimes::consume(std::uint64_t count) {
   read_ += count;
   while (!marks_.empty() && marks_.front().end <= read_) marks_.pop_front();
@@ -98,6 +104,7 @@
   write_.reset(event_new(base, fd_.get(), EV_WRITE, on_write, this));
   // Edge-triggered: it fires for each arrival even though nothing is read.
   arrival_.reset(event_new(base, fd_.get(), EV_READ | EV_ET | EV_PERSIST, on_arrival, this));
+  resume_.reset(evtimer_new(base, on_resume, this));
   event_add(read_.get(), nullptr);
   used_ = owner_.shared_.loop.now();
   int waiting = 0;
@@ -108,14 +115,10 @@
 void Connection::set_silent(bool silent) {
   silent_ = silent;
   if (silent) {
-    event_del(read_.get());
     event_del(write_.get());
-    record_arrivals();
-    event_add(arrival_.get(), nullptr);
+    watch_arrivals_only();
   } else {
-    record_arrivals();
-    event_del(arrival_.get());
-    event_add(read_.get(), nullptr);
+    resume_reading();
     // Answers that were made during the cut could not be sent. That wait is due to the cut, not to
     // head-of-line blocking, so it is left out of the record.
     for (auto& exchange : waiting_)
@@ -125,6 +128,29 @@
   }
 }
 
+void Connection::watch_arrivals_only() {
+  event_del(read_.get());
+  record_arrivals();
+  event_add(arrival_.get(), nullptr);
+}
+
+void Connection::resume_reading() {
+  record_arrivals();
+  event_del(arrival_.get());
+  event_add(read_.get(), nullptr);
+}
+
+void Connection::pause_reading(Micros span) {
+  watch_arrivals_only();
+  timeval after{span / 1'000'000, span % 1'000'000};
+  event_add(resume_.get(), &after);
+}
+
+void Connection::on_resume(evutil_socket_t, short, void* self) {
+  auto* c = static_cast<Connection*>(self);
+  if (!c->silent_ && !c->close_after_) c->resume_reading();
+}
+
 void Connection::record_arrivals() {
   int waiting = 0;
   if (::ioctl(fd_.get(), FIONREAD, &waiting) == 0)
@@ -145,6 +171,9 @@
   };
   for (const OutgoingAnswer& answer : outgoing_) end(answer.attempt);
   for (auto& exchange : waiting_) {
+    // Behind other answers, nobody knows when its turn would have come.
+    bool behind = exchange != waiting_.front();
+    if (behind && exchange->attempt != kNoAttempt) owner_.record(*exchange).would_suffice = 0;
     end(exchange->attempt);
     owner_.shared_.exchanges.erase(exchange->token);
     owner_.shared_.at_origin.erase(exchange->token);
@@ -152,6 +181,7 @@
   read_.reset();
   write_.reset();
   arrival_.reset();
+  resume_.reset();
   if (reset) {
     linger hard{1, 0};
     ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
@@ -224,9 +254,12 @@
 void Connection::on_read(evutil_socket_t, short, void* self) {
   auto* c = static_cast<Connection*>(self);
   char bytes[kReadChunkBytes];
-  ssize_t got = ::recv(c->fd_.get(), bytes, sizeof bytes, 0);
+  const Fault* slow = c->owner_.fault(FaultKind::kReadsSlowly);
+  std::size_t most = slow ? std::min<std::size_t>(slow->bytes, sizeof bytes) : sizeof bytes;
+  ssize_t got = ::recv(c->fd_.get(), bytes, most, 0);
   if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
   if (got <= 0) return c->on_peer_closed();
+  if (slow) c->pause_reading(slow->delay);
   c->on_input({bytes, static_cast<std::size_t>(got)});
 }
 
@@ -243,8 +276,11 @@
     if (!reader_.in_command()) first_byte_ = arrivals_.next_arrival(now);
     std::size_t before = in.size();
     auto exchange = next_exchange(in, first_byte_);
-    arrivals_.consume(before - in.size());
+    std::uint64_t taken = before - in.size();
+    Micros last_byte = arrivals_.arrival_of(taken, now);
+    arrivals_.consume(taken);
     if (!exchange) break;
+    if (exchange->attempt != kNoAttempt) owner_.record(*exchange).last_byte = last_byte;
     waiting_.push_back(std::move(exchange));
     if (close_after_ || waiting_.size() > kMaxPendingCommands) {
       close_after_ = true;
--- a/src/kit/standin/connection.hpp
+++ b/src/kit/standin/connection.hpp
@@ -60,6 +60,8 @@
   void record(std::uint64_t waiting, Micros now);
   /// Arrival time of the next byte to be read; `now` where none was recorded.
   Micros next_arrival(Micros now) const { return marks_.empty() ? now : marks_.front().at; }
+  /// Arrival time of the last of the next `count` bytes; `now` where none was recorded.
+  Micros arrival_of(std::uint64_t count, Micros now) const;
   /// Records that `count` bytes were read.
   void consume(std::uint64_t count);
 
@@ -101,7 +103,12 @@
   static void on_write(evutil_socket_t, short, void* self);
   static void on_read(evutil_socket_t, short, void* self);
   static void on_arrival(evutil_socket_t, short, void* self);
+  static void on_resume(evutil_socket_t, short, void* self);
   void record_arrivals();
+  /// Stops reading for a while; what arrives meanwhile is recorded.
+  void pause_reading(Micros span);
+  void watch_arrivals_only();
+  void resume_reading();
   void on_peer_closed();
   void on_input(std::string_view in);
   std::unique_ptr<Exchange> next_exchange(std::string_view& in, Micros came);
@@ -116,7 +123,7 @@
   PriceCache& owner_;
   net::Fd fd_;
   int router_;
-  net::EventPtr read_, write_, arrival_;
+  net::EventPtr read_, write_, arrival_, resume_;
   protocol::CommandReader reader_;
   std::deque<std::unique_ptr<Exchange>> waiting_;
   std::deque<OutgoingAnswer> outgoing_;
--- a/src/kit/standin/price_cache.hpp
+++ b/src/kit/standin/price_cache.hpp
@@ -59,6 +59,7 @@
   };
   static void on_accept(evutil_socket_t, short, void* listener);
   void open_listener(Listener& listener);
+  bool may_read_slowly() const;
   void set_silent(Listener& listener, bool silent);
   bool silent_now(int router) const;
   const Fault* fault(FaultKind kind) const;
--- a/src/kit/standin/spec.hpp
+++ b/src/kit/standin/spec.hpp
@@ -10,6 +10,9 @@
 
 namespace violetusher::standin {
 
+/// Largest value that the stand-ins and the tills handle.
+constexpr std::uint64_t kMaxLongValueBytes = 1u << 20;
+
 /// A class of cache server machines.
 struct MachineKind {
   std::string name;
@@ -56,6 +59,9 @@
   Micros repeat_window = 5'000'000;         ///< repeats of a keyed write are not executed again
   bool drop_gone_work = false;              ///< removes queued work whose connection was closed
   Micros value_low = 64, value_high = 512;  ///< bytes of a value
+  /// Part of the keys whose values are long: more than protocol::kMaxValueBytes, at most long_high.
+  double long_share = 0;
+  std::uint64_t long_high = 256u << 10;
   // Discovery.
   Micros notice = 1'500'000;         ///< until a crash, join or drain appears in the list
   Micros silent_notice = 6'000'000;  ///< until an unreachable machine does
@@ -93,6 +99,7 @@
   kDiscoverySlow,    ///< each call of a polled list takes `delay` longer
   kPieces,           ///< answers are written in pieces of `bytes`, `delay` apart
   kLateBody,         ///< the first `bytes` of an answer are written at once, the rest `delay` later
+  kReadsSlowly,      ///< requests are read in pieces of `bytes`, `delay` apart, from a small buffer
 };
 
 /// The name of a kind in day files.
--- a/tests/kit/rehearse/day_test.cpp
+++ b/tests/kit/rehearse/day_test.cpp
@@ -115,6 +115,15 @@
         Broken{"[[event]]\nwhat = \"answers-in-pieces\"\nat = \"1s\"\nservers = \"pc-1\"\n"
                "bytes = \"65KiB\"\n",
                "d.toml:10: event[1].bytes: must be from 1 to 64KiB"},
+        Broken{"[fleet]\nlong_share = 0.1\nlong_high = \"64KiB\"\n",
+               "d.toml:8: fleet.long_high: must be more than 64KiB"},
+        Broken{"[fleet]\nlong_high = \"2MiB\"\n", "fleet.long_high: must be more than 64KiB"},
+        Broken{"[fleet]\nlong_share = 1.5\n", "fleet.long_share: expected a fraction"},
+        Broken{"[[tills.class]]\nname = \"a\"\nshare = 1\nvalue = \"65KiB\"\n",
+               "tills.class[1].value: must be at most 64KiB"},
+        Broken{"[[event]]\nwhat = \"reads-slowly\"\nat = \"1s\"\nservers = \"pc-1\"\n"
+               "bytes = \"0B\"\n",
+               "bytes"},
         Broken{"[[event]]\nwhat = \"answers-with-late-body\"\nat = \"1s\"\nservers = \"pc-1\"\n"
                "delay = \"-5ms\"\n",
                "d.toml:10: event[1].delay"},
