A keyed write that is read slowly does not run after its key is forgotten

Cause: the end of the window for repeats was looked at before an attempt's first byte alone. A server begins a command with its last byte, which came 771.9 ms after the first run, at a window of 500 ms; the record shows the repeat begun 0.6 ms after the reset. The first attempt had no limit at all beside a later one. Change: a timer at the window's end gives up each attempt that its server's system has yet to take whole while another may run; the decision module takes that for no sign of load. The same in cancel(): a request that is over and not taken closes its connection, beside other attempts too, unless a long value is passed on from it. Why it works: until its last byte is taken a request does not run, and the reset discards that byte.

--- a/include/violetusher/balancer.hpp
+++ b/include/violetusher/balancer.hpp
@@ -205,8 +205,10 @@
   static constexpr Micros kAnyTime = std::numeric_limits<Micros>::max();
   RequestId id;
   std::string server;
-  Micros attempt_timeout;         ///< 0 = until the client's timeout
-  Micros send_before = kAnyTime;  ///< not to be sent at this time or later, even after waiting
+  Micros attempt_timeout;  ///< 0 = until the client's timeout
+  /// Not to be sent at this time or later, even after waiting; from then on no more than one
+  /// attempt of the request may still come to run.
+  Micros send_before = kAnyTime;
 };
 /// Final answer: the request was refused, and a retry is harmless.
 struct Refuse {
--- a/src/core/flight/record.cpp
+++ b/src/core/flight/record.cpp
@@ -13,9 +13,10 @@
 }
 
 const char* name_of(Reason why) {
-  static const char* const kNames[] = {
-      "none",   "module", "no-route", "limit", "budget",   "table",       "bytes",
-      "buffer", "dial",   "deadline", "left",  "shutdown", "bad-command", "duplicate-id"};
+  static const char* const kNames[] = {"none",        "module",       "no-route",   "limit",
+                                       "budget",      "table",        "bytes",      "buffer",
+                                       "dial",        "deadline",     "left",       "shutdown",
+                                       "bad-command", "duplicate-id", "key-expired"};
   auto at = static_cast<std::uint8_t>(why);
   return at <= kMaxReason ? kNames[at] : "unknown";
 }
--- a/src/core/flight/record.hpp
+++ b/src/core/flight/record.hpp
@@ -57,8 +57,9 @@
   kShutdown,           ///< the router shut down
   kBadCommand,         ///< the command is invalid
   kDuplicateId,        ///< a request with its id has been sent to a server already
+  kKeyExpired,         ///< servers may have forgotten its key
 };
-constexpr std::uint8_t kMaxReason = static_cast<std::uint8_t>(Reason::kDuplicateId);
+constexpr std::uint8_t kMaxReason = static_cast<std::uint8_t>(Reason::kKeyExpired);
 
 /// Names as shown in recordings and logs; "unknown" for values out of range.
 const char* name_of(Kind kind);
--- a/src/net/request_actions.cpp
+++ b/src/net/request_actions.cpp
@@ -73,6 +73,7 @@
   }
   const auto* type = class_of(open->command);
   bool runs_once = type && type->effect == violetusher::Effect::Once;
+  if (action.send_before != violetusher::Send::kAnyTime) set_key_expiry(*open, action.send_before);
   deps_.servers.send(action.server, action.id, attempt, open->command,
                      {now + wait, action.send_before, runs_once});
 }
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -376,6 +376,7 @@
   if (!open.done()) return;
   deps_.timers.cancel(open.deadline_timer);
   deps_.timers.cancel(open.stream_timer);
+  deps_.timers.cancel(open.key_expiry_timer);
   for (Timers::Handle& timer : open.module_timers) deps_.timers.cancel(timer);
   bool may_have_run = std::any_of(open.attempts.begin(), open.attempts.end(),
                                   [](const Attempt& a) { return a.may_have_run; });
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -114,6 +114,9 @@
   void begin_stream(OpenRequest& open);
   void end_timed_out(OpenRequest& open, int attempt);
   void end_at_time_limit(OpenRequest& open, int attempt);
+  void set_key_expiry(OpenRequest& open, Micros at);
+  void end_at_key_expiry(OpenRequest& open);
+  bool another_may_run(const OpenRequest& open, int attempt) const;
   void end_stream(OpenRequest& open, bool whole);
   void report_outcome(OpenRequest& open, int attempt, Status status, Answer* answer);
   void report_disconnect(OpenRequest& open);
--- a/src/net/request_table.cpp
+++ b/src/net/request_table.cpp
@@ -24,7 +24,7 @@
   module = 0;
   traffic.reset();
   ticket = {};
-  deadline_timer = stream_timer = 0;
+  deadline_timer = stream_timer = key_expiry_timer = 0;
   module_timers.clear();
 }
 
--- a/src/net/request_table.hpp
+++ b/src/net/request_table.hpp
@@ -41,6 +41,7 @@
   core::TrafficPolicy::Ticket ticket;
   Timers::Handle deadline_timer = 0;
   Timers::Handle stream_timer = 0;            ///< set once a long value has begun to come
+  Timers::Handle key_expiry_timer = 0;        ///< set once a keyed request is sent again
   std::vector<Timers::Handle> module_timers;  ///< set by its module for it
 
   /// Resets to the initial state, but keeps the memory of strings and vectors for the next request.
--- a/src/net/request_time_limits.cpp
+++ b/src/net/request_time_limits.cpp
@@ -63,6 +63,10 @@
     begin_stream(*open);
     return;
   }
+  if (task.kind == Timers::Task::Kind::kKeyExpiry) {
+    end_at_key_expiry(*open);
+    return;
+  }
   if (task.kind == Timers::Task::Kind::kAttemptTimeout) {
     end_timed_out(*open, task.attempt);
     return;
@@ -97,6 +101,38 @@
   end_at_time_limit(open, attempt);
 }
 
+/// `at`: when the servers begin to forget the key of the first attempt that may have run.
+void RequestCore::set_key_expiry(OpenRequest& open, Micros at) {
+  deps_.timers.cancel(open.key_expiry_timer);
+  open.key_expiry_timer =
+      deps_.timers.set(at, {.kind = Timers::Task::Kind::kKeyExpiry, .token = open.id});
+}
+
+/// From now on no two attempts of the request may come to run, in whichever order they were sent.
+/// Those that their servers have yet to take are ended while another may run, the last one first:
+/// the first may be further, and goes on alone once all others are known never to run.
+void RequestCore::end_at_key_expiry(OpenRequest& open) {
+  open.key_expiry_timer = 0;
+  for (std::size_t k = open.attempts.size(); k-- > 0;) {
+    int attempt = static_cast<int>(k);
+    const Attempt& a = open.attempts[k];
+    if (!a.in_flight || !another_may_run(open, attempt)) continue;
+    if (deps_.servers.request_taken(a.server, open.id, attempt)) continue;
+    Status status = deps_.servers.cancel(a.server, open.id, attempt);
+    record_event(Kind::kCancelled, open.id, attempt, 0, static_cast<std::int64_t>(status), {},
+                 Reason::kKeyExpired);
+    report_outcome(open, attempt, status, nullptr);
+  }
+}
+
+bool RequestCore::another_may_run(const OpenRequest& open, int attempt) const {
+  for (std::size_t k = 0; k < open.attempts.size(); ++k) {
+    const Attempt& a = open.attempts[k];
+    if (static_cast<int>(k) != attempt && (a.in_flight || a.may_have_run)) return true;
+  }
+  return false;
+}
+
 void RequestCore::end_at_time_limit(OpenRequest& open, int attempt) {
   Attempt& a = open.attempt(attempt);
   if (!a.in_flight || attempt == open.streaming_attempt) return;
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -80,6 +80,9 @@
   /// Whether the server's system has yet to take a large request. What is behind it is not written
   /// meanwhile: the system would send it on, however long after its end.
   bool holds_back() const;
+  /// Whether the server's system has taken the last byte of the request at this index. Until then
+  /// the server does not begin it; after that nothing can call it back.
+  bool taken(std::size_t index) const;
   /// Whether the server has taken a part of what was written since the last call, or has begun to.
   bool request_progresses();
   /// How far the attempt at this index is.
@@ -102,6 +105,8 @@
   /// False only if it is certain that the peer has not closed or reset the connection and has sent
   /// nothing unsolicited.
   bool may_have_ended() const { return side_.io_.may_have_input(socket_.number()); }
+  /// A value is being passed on to a client: nothing can be begun anew for it elsewhere.
+  bool serves_stream() const { return streaming_ && entries_.front().live; }
   /// Tells the handler, once for each answer, that one has begun and pauses.
   void report_pause(Micros now);
   /// Why it is to be closed, if an answer has not come in time.
--- a/src/net/server_connection_limits.cpp
+++ b/src/net/server_connection_limits.cpp
@@ -23,6 +23,13 @@
   return large && side_.io_.untaken(socket_.number()) > 0;
 }
 
+bool ServerConnection::taken(std::size_t index) const {
+  if (index >= sent_) return false;
+  std::size_t written_behind = partial_;
+  for (std::size_t k = index + 1; k < sent_; ++k) written_behind += entries_[k].size;
+  return side_.io_.untaken(socket_.number()) <= written_behind;
+}
+
 bool ServerConnection::request_progresses() {
   std::size_t untaken = side_.io_.untaken(socket_.number());
   if (partial_ > 0) untaken += entries_[sent_].size - partial_;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -218,6 +218,12 @@
   }
   e.live = false;
   e.since = io_.now();
+  // The system would send the rest, and the server would begin it, however late: PROTOCOL counts an
+  // attempt from its last byte. The other attempts on the connection can be begun anew.
+  if (!c->taken(index) && !c->serves_stream()) {
+    close(*c, CloseReason::kAbandoned);
+    return Status::Cancelled;
+  }
   if (index + 1 == c->sent_ && c->holds_back()) c->drop_unsent(io_.now() + 1);
   // Only closing the connection tells the server that nobody waits any more, so that it may drop
   // what it has not started. With many clients that leave early, abandoned attempts filled the
@@ -237,6 +243,11 @@
   return c ? c->progress_of(index) : AttemptProgress();
 }
 
+bool ServerSide::request_taken(const std::string& server, RequestId id, int attempt) {
+  auto [c, index] = find(server, id, attempt);
+  return c && c->taken(index);
+}
+
 bool ServerSide::request_progresses(const std::string& server, RequestId id, int attempt) {
   auto [c, index] = find(server, id, attempt);
   return c && c->started(index) && c->request_progresses();
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -98,6 +98,9 @@
     std::size_t answer_bytes = 0;
   };
   AttemptProgress progress_of(const std::string& server, RequestId id, int attempt);
+  /// Whether the server's system has taken the attempt's request whole, so that it may run; else
+  /// cancel() keeps it from running.
+  bool request_taken(const std::string& server, RequestId id, int attempt);
   /// Whether the server has taken a part of the attempt's request since the last call, or has begun
   /// to: it is read slowly.
   bool request_progresses(const std::string& server, RequestId id, int attempt);
--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -24,6 +24,7 @@
       kStreamBegin,     ///< passes on a long value that has begun, before the deadline
       kDeadline,        ///< ends a request at its deadline
       kFinalAnswer,     ///< answers a request that its module has left open
+      kKeyExpiry,       ///< ends attempts that would run after servers forget the request's key
     };
     Kind kind = Kind::kModule;
     std::uint32_t module = 0;  ///< of kModule
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -1134,6 +1134,10 @@
       retry_tokens -= cost;
       if (send(open)) return;
     }
+    // An attempt that was given up as the servers forget its key: the server reads slowly, or the
+    // path to it is slow, and with a longer window it would have been waited for.
+    bool given_up = never_sent || status == Status::Cancelled;
+    isolated |= given_up && now >= repeat_deadline(open);
     if (!any_pending(open)) finish(open, isolated);
   }
 
--- a/tests/daemon/slow_peers_test.cpp
+++ b/tests/daemon/slow_peers_test.cpp
@@ -245,6 +245,37 @@
   EXPECT_EQ(late, 0) << daemon_->log();
 }
 
+/// Guards against a keyed write that runs again after the servers have forgotten its key: an
+/// attempt that begins within that time, but is read slowly, comes to its server after it.
+TEST_F(SlowPeers, AKeyedWriteThatIsReadSlowlyDoesNotRunAfterItsKeyIsForgotten) {
+  constexpr int kWindowMs = 400, kAnswerMs = 2000;
+  options_.key_ttl_us = std::to_string(kWindowMs * 1000);
+  options_.deadline_us = std::to_string(kAnswerMs * 1000);
+  // Whichever server is first, the others are asked too: one runs it at once and says nothing.
+  auto silent = [](const ReceivedCommand&) { return std::vector<Piece>(); };
+  servers_.push_back(std::make_unique<PacedServer>(silent));
+  for (int k = 1; k < 3; ++k)
+    servers_.push_back(std::make_unique<PacedServer>(store, kSlowReading));
+  start(nullptr);
+  for (const TimedAnswer& a : write_all("put", kAnswerMs, value_of(60'000))) {
+    EXPECT_FALSE(a.line.empty());
+    EXPECT_LE(a.last_byte_ms, kAnswerMs + kAnswerSlackMs);
+  }
+  sleep_ms(1500);
+  std::map<std::string, std::vector<SteadyTime>> runs;
+  for (const auto& server : servers_) {
+    std::vector<ReceivedCommand> received = server->commands();
+    std::vector<SteadyTime> times = server->times();
+    for (std::size_t k = 0; k < received.size(); ++k)
+      runs[id_of(received[k].line)].push_back(times[k]);
+  }
+  EXPECT_FALSE(runs.empty());
+  for (auto& [id, times] : runs) {
+    std::sort(times.begin(), times.end());
+    EXPECT_LE(ms_between(times.front(), times.back()), kWindowMs + kAnswerSlackMs) << id;
+  }
+}
+
 /// The final answers keep their time through a restart and new settings, and nothing of a request
 /// is sent after it.
 TEST_F(SlowPeers, RequestsThatAreReadSlowlyKeepTheirTimeThroughSignals) {
--- a/tests/net/core_fixture.hpp
+++ b/tests/net/core_fixture.hpp
@@ -26,6 +26,7 @@
     bool shut = false;     ///< the router has shut down its sending side
     bool blocked = false;  ///< takes no output
     std::size_t room = std::numeric_limits<std::size_t>::max();  ///< output it still takes
+    std::size_t untaken = 0;  ///< output that the peer's system has not taken
     bool ended = false, open = true, dialled = true;
     Watch::Target* target = nullptr;
     bool reading = false, writing = false;
@@ -94,6 +95,7 @@
     return e.ended || !e.in.empty() || !e.endless_input.empty();
   }
   bool peer_ended(int socket) override { return ends[socket].ended; }
+  std::size_t untaken(int socket) override { return ends[socket].untaken; }
   void shutdown_send(int socket) override { ends[socket].shut = true; }
   void close(int socket) override { ends[socket].open = false; }
   std::unique_ptr<Watch> watch(int socket, Watch::Target& target) override {
--- a/tests/net/shared_connection_test.cpp
+++ b/tests/net/shared_connection_test.cpp
@@ -93,6 +93,28 @@
   EXPECT_FALSE(io.ends[server].open);
 }
 
+/// Guards against a request that the system sends on after its client has left, as another attempt
+/// on its connection is waited for.
+TEST_F(SharedConnection, IsClosedOverARequestThatTheServerHasNotTaken) {
+  send_two_reads();
+  io.ends[server].untaken = 1;
+  leave(second, 2);
+  EXPECT_FALSE(io.ends[server].open);
+}
+
+/// What the server has taken can't be called back: the connection stays for the other attempt.
+TEST_F(SharedConnection, StaysOpenForAnotherAttemptIfTheServerHasTakenTheRequest) {
+  send_two_reads();
+  int third = client_with(read_command("c", "k3", "3000"));
+  core.send({3, "s-0", 0});
+  flush();
+  io.ends[server].untaken = 1;  // of the third
+  leave(second, 2);
+  EXPECT_TRUE(io.ends[server].open);
+  answer(value_for("mg k1 v Oa ") + value_for("mg k2 v Ob ") + value_for("mg k3 v Oc "));
+  EXPECT_EQ(io.ends[third].out, "VA 5 Oc\r\nprice\r\n");
+}
+
 /// The request behind an abandoned one is withdrawn unsent: nobody waits, and nothing is cancelled.
 TEST_F(SharedConnection, AnAbandonedAnswerIsNotAwaitedForEver) {
   first = client_with(read_command("a"));
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -779,6 +779,33 @@
   EXPECT_EQ(second[0].send_before, 408 * kMs);
 }
 
+// Guards against refusing all writes since some were given up as their keys expired: their servers
+// read slowly, which is no sign of load.
+TEST(Attempts, GivenUpAsTheKeyExpiresIsNoSignOfLoad) {
+  Settings s = basic_settings();
+  s.classes[0].effect = Effect::Keyed;
+  s.classes[0].key_ttl = 400 * kMs;
+  Balancer b(s, 1, 0);
+  b.start(0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  Micros now = 0;
+  for (RequestId id = 1; id <= 5; ++id, now += 2 * kS) {
+    auto first = actions_of<Send>(b.on_request(now, make_read(id, "k" + std::to_string(id))));
+    ASSERT_EQ(first.size(), 1u) << id;
+    auto second = actions_of<Send>(b.on_outcome(
+        now + 20 * kMs, make_outcome(id, first[0].server, Status::Reset, 0, 20 * kMs)));
+    ASSERT_EQ(second.size(), 1u) << id;
+    Status status = id % 2 == 0 ? Status::Cancelled : Status::NotSent;
+    auto refused = actions_of<Refuse>(
+        b.on_outcome(second[0].send_before, make_outcome(id, second[0].server, status, 1)));
+    EXPECT_EQ(refused.size(), 1u) << id;
+  }
+  int sent = 0;
+  for (RequestId id = 100; id < 200; ++id)
+    sent += !sent_to(b.on_request(now, make_read(id, "k" + std::to_string(id)))).empty();
+  EXPECT_EQ(sent, 100);
+}
+
 // Guards against a list older than the router counts as notified of, 6 s after discovery recovers,
 // because the delay after failed requests had grown beyond that.
 TEST(HostList, RetryBackoffDoesNotGrow) {
