Memory keeps its limit while servers read writes slowly: values are held once

Cause: bytes that no account knows. Evidence by three new figures of DUMP, on the old code: 32.0 MB of heap in use at 18.7 MB in the accounts (a copy of each command for each attempt, buffers grown to twice their size), and later 15.6 MB freed and kept between buffers of all sizes. Change: a write's value is shared by its request and its attempts (SharedValue) and made in its full size; what leaves a connection's queue releases its command; buffers of 32 KiB and more have mappings of their own. Why it works: what is left is what the accounts count, each with a limit, and freed buffers leave no holes. Not measured: 192 MB, throughput.

--- a/src/core/ops/metrics.cpp
+++ b/src/core/ops/metrics.cpp
@@ -33,6 +33,9 @@
   all["client_buffer_peak_bytes"] = now.client_buffer_peak_bytes;
   all["server_buffer_bytes"] = now.server_buffer_bytes;
   all["server_buffer_peak_bytes"] = now.server_buffer_peak_bytes;
+  all["request_bytes"] = now.request_bytes;
+  all["heap_used_bytes"] = now.heap_used_bytes;
+  all["heap_free_bytes"] = now.heap_free_bytes;
   all["reload_success"] = reload_success_;
   all["reload_failure"] = reload_failure_;
   if (now.guard) {
--- a/src/core/ops/metrics.hpp
+++ b/src/core/ops/metrics.hpp
@@ -26,6 +26,9 @@
     std::size_t client_buffer_peak_bytes = 0;  ///< the most so far
     std::size_t server_buffer_bytes = 0;       ///< buffered for all servers now
     std::size_t server_buffer_peak_bytes = 0;  ///< the most so far
+    std::size_t request_bytes = 0;             ///< commands of open requests
+    std::size_t heap_used_bytes = 0;           ///< allocated by the process now
+    std::size_t heap_free_bytes = 0;           ///< freed, but not given back to the system
     const InvariantChecker* guard = nullptr;  ///< counts of invariants and closes; left out if null
     const ServerCloseCounts* server_closes = nullptr;  ///< left out if null
   };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -18,6 +18,7 @@
 #include "core/mutants.hpp"
 #include "daemon/signals.hpp"
 #include "net/flight_file.hpp"
+#include "net/heap.hpp"
 #include "net/operator_file.hpp"
 #include "net/router.hpp"
 #include "net/system_io.hpp"
@@ -422,6 +423,7 @@
     }
   }
   if (only_check) return check(operator_file);
+  return_large_buffers_at_once();
   std::signal(SIGPIPE, SIG_IGN);
   // SIGUSR1 has no function, and before the start there is no recording to copy.
   for (int one : {SIGUSR1, SIGUSR2}) std::signal(one, SIG_IGN);
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/ops/settings_update.hpp"
+#include "heap.hpp"
 
 namespace violetusher::net {
 namespace {
@@ -283,6 +284,10 @@
   now.client_buffer_peak_bytes = clients_.peak_buffered();
   now.server_buffer_bytes = servers_.buffered();
   now.server_buffer_peak_bytes = servers_.peak_buffered();
+  HeapUsage heap = heap_usage();
+  now.request_bytes = core_.table().bytes();
+  now.heap_used_bytes = heap.used;
+  now.heap_free_bytes = heap.free;
   const violetusher::Balancer& whole = *pools_.find(PoolSet::kWholeList)->balancer;
   operations_.hosts().each([&](const Host& host) {
     now.targets_disabled += host.server.health != violetusher::Health::Ready ||
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -45,6 +45,34 @@
   return (std::max<Micros>(end - now, 0) + kMillisecond - 1) / kMillisecond;
 }
 
+/// The parts of queued commands that one call writes, behind those that are written already.
+class UnsentParts {
+ public:
+  explicit UnsentParts(std::size_t written_bytes) : skip_(written_bytes) {}
+  bool has_room() const { return count_ + kPartsPerCommand <= kMaxParts; }
+  void add(const ServerConnection::QueuedAttempt& e) {
+    add(e.line);
+    if (!e.value) return;
+    add(*e.value);
+    add(protocol::kLineEnd);
+  }
+  const iovec* parts() const { return parts_; }
+  std::size_t count() const { return count_; }
+
+ private:
+  static constexpr std::size_t kMaxParts = 64, kPartsPerCommand = 3;
+
+  void add(std::string_view text) {
+    std::size_t skipped = std::min(skip_, text.size());
+    skip_ -= skipped;
+    text.remove_prefix(skipped);
+    if (!text.empty()) parts_[count_++] = {const_cast<char*>(text.data()), text.size()};
+  }
+
+  iovec parts_[kMaxParts];
+  std::size_t count_ = 0, skip_;
+};
+
 bool matches(const ServerConnection::QueuedAttempt& e, const Answer& answer) {
   if (answer.kind == Answer::Kind::Value && e.is_set) return false;
   if (answer.kind == Answer::Kind::Stored && !e.is_set) return false;
@@ -117,7 +145,7 @@
     if (e.live && now >= e.send_before) {
       RequestId id = e.id;
       int attempt = e.attempt;
-      entries_.erase(k);
+      remove(k);
       side_.handler_.on_attempt_end(id, attempt, Status::ConnectFailed, Answer());
       continue;
     }
@@ -128,14 +156,25 @@
 
 void ServerConnection::QueuedAttempt::update_time_left(Micros now) {
   std::string left = std::to_string(left_ms(deadline, now));
-  bytes.replace(time_left_begin, time_left_end - time_left_begin, left);
+  size -= line.size();
+  line.replace(time_left_begin, time_left_end - time_left_begin, left);
+  size += line.size();
   time_left_end = time_left_begin + left.size();
-  size = bytes.size();
+}
+
+void ServerConnection::QueuedAttempt::release_command() {
+  clear_text(line, kMaxKeptCommandBytes);
+  value.reset();
+}
+
+void ServerConnection::remove(std::size_t index) {
+  entries_[index].release_command();
+  entries_.erase(index);
 }
 
 void ServerConnection::stop_writing() {
   write_stopped_ = draining_ = true;
-  entries_.erase(sent_);
+  remove(sent_);
   partial_ = 0;
   drop_unsent(side_.io_.now() + 1);
 }
@@ -144,16 +183,12 @@
   if (connecting_ || write_stopped_) return;
   refresh_unsent();
   while (sent_ < entries_.size() && (partial_ > 0 || !holds_back())) {
-    iovec parts[64];
-    std::size_t count = 0;
-    std::size_t skip = partial_;
-    for (std::size_t k = sent_; k < entries_.size() && count < 64; ++k) {
-      std::string& bytes = entries_[k].bytes;
-      parts[count++] = {bytes.data() + skip, bytes.size() - skip};
-      skip = 0;
+    UnsentParts unsent(partial_);
+    for (std::size_t k = sent_; k < entries_.size() && unsent.has_room(); ++k) {
+      unsent.add(entries_[k]);
       if (entries_[k].is_large()) break;
     }
-    ssize_t sent = side_.io_.send(socket_.number(), parts, count);
+    ssize_t sent = side_.io_.send(socket_.number(), unsent.parts(), unsent.count());
     if (sent == Io::kAgain) {
       watch_->write_once();
       break;
@@ -167,7 +202,7 @@
     while (sent_ < entries_.size() && partial_ >= entries_[sent_].size) {
       QueuedAttempt& e = entries_[sent_];
       partial_ -= e.size;
-      clear_text(e.bytes, kMaxKeptCommandBytes);
+      e.release_command();
       ++sent_;
       ++side_.written_;
       if (side_.recorder_.on())
@@ -315,15 +350,16 @@
   e.started = false;
   e.type = side_.activity_recorder_ ? side_.activity_recorder_->type_of(command.type) : 0;
   e.answer_id = command.id;
-  e.bytes.clear();
+  e.line.clear();
   e.queued_at = e.since = last_active_at_ = side_.io_.now();
   e.deadline = terms.deadline;
   e.send_before = terms.send_before;
   e.runs_once = terms.runs_once;
-  protocol::append_command(e.bytes, command, left_ms(e.deadline, e.since));
-  e.size = e.bytes.size();
+  protocol::append_command_line(e.line, command, left_ms(e.deadline, e.since));
+  e.value = command.value;
+  e.size = e.line.size() + (e.value ? e.value->size() + protocol::kLineEnd.size() : 0);
   e.time_left_begin = command.head.size();
-  e.time_left_end = e.size - command.tail.size() - (command.set ? command.value.size() + 4 : 2);
+  e.time_left_end = e.line.size() - command.tail.size() - protocol::kLineEnd.size();
   side_.mark_dirty(*this);
 }
 
@@ -340,7 +376,7 @@
     RequestId id = e.id;
     int attempt = e.attempt;
     bool live = e.live;
-    entries_.pop_back();
+    remove(entries_.size() - 1);
     if (live) side_.handler_.on_attempt_end(id, attempt, Status::ConnectFailed, Answer());
   }
 }
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -34,11 +34,12 @@
     bool live = true;        // somebody waits for its answer
     bool timed_out = false;  // abandoned once all others are too: see ServerSide::may_abandon()
     bool is_set = false;
-    std::string answer_id;  // the id that its answer must carry
-    std::string bytes;      // of the command; freed once written
-    std::size_t size = 0;   // of those bytes
+    std::string answer_id;        // the id that its answer must carry
+    std::string line;             // of the command, with its end; freed once written
+    protocol::SharedValue value;  // of a write, which follows the line; released once written
+    std::size_t size = 0;         // of the whole command
     std::size_t time_left_begin = 0,
-                time_left_end = 0;  // position of the time left in `bytes`
+                time_left_end = 0;  // position of the time left in `line`
     Micros deadline = 0;            // end of the time left
     Micros send_before = 0;         // it may not be started at this time or later
     Micros queued_at = 0;
@@ -49,8 +50,10 @@
 
     /// Too large for a server's system to take at once, however slowly the server reads.
     bool is_large() const { return size > kLargeRequestBytes; }
-    /// Replaces the time left in `bytes` by what is left at `now`.
+    /// Replaces the time left in `line` by what is left at `now`.
     void update_time_left(Micros now);
+    /// Frees what is not needed once the command is written, or given up.
+    void release_command();
   };
 
   ServerConnection(ServerSide& side, ServerPool& pool, std::uint32_t id);
@@ -68,6 +71,8 @@
   /// Queues an attempt behind all others. Nothing of it is written before flush().
   void queue(RequestId id, int attempt, const Command& command,
              const ServerSide::AttemptTerms& terms);
+  /// Removes the attempt at this index, of which no answer is expected.
+  void remove(std::size_t index);
   /// Queues an attempt that has waited on another connection.
   void take_over(QueuedAttempt&& entry);
   /// Streams the long value that is being received.
--- a/src/net/server_connection_limits.cpp
+++ b/src/net/server_connection_limits.cpp
@@ -102,7 +102,8 @@
   if (!closed_) {
     bytes = reader_.buffered() + unconfirmed_value_.size();
     if (admitted_) bytes += reader_.to_be_buffered();
-    for (std::size_t k = sent_; k < entries_.size(); ++k) bytes += entries_[k].size;
+    // Values are held once, by the request: see RequestTable::bytes().
+    for (std::size_t k = sent_; k < entries_.size(); ++k) bytes += entries_[k].line.size();
   }
   side_.budget_.update(counted_bytes_, bytes);
 }
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -192,7 +192,7 @@
 bool ServerSide::withdraw(const std::string& server, RequestId id, int attempt) {
   auto [c, index] = find(server, id, attempt);
   if (!c || c->started(index)) return false;
-  c->entries_.erase(index);
+  c->remove(index);
   return true;
 }
 
--- a/src/protocol/command.hpp
+++ b/src/protocol/command.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,13 +22,17 @@
 /// The protocols with a codec.
 enum class WireProtocol : std::uint8_t { Meta };
 
+/// The value of a write. It is held once, by the request and by all attempts that have yet to send
+/// it; null for a read.
+using SharedValue = std::shared_ptr<const std::string>;
+
 /// One request.
 struct Command {
   bool set = false;  ///< a write; else a read
   std::string id;    ///< chosen by the client, at most kMaxOpaqueBytes; echoed in the answer
   std::string key, type, tenant;
   std::string idempotency;       ///< idempotency key of a write; empty = none
-  std::string value;             ///< of a set
+  SharedValue value;             ///< of a set
   bool value_discarded = false;  ///< it was not kept: the command can't be forwarded
   double wait_ms = 0;            ///< the client's timeout for this attempt
   /// How long ago it was received: commands of one connection may wait for others of it.
@@ -43,14 +48,15 @@
   /// Resets all fields; keeps the memory of the strings for reuse.
   void clear();
   /// Approximate memory of the command, bytes.
-  std::size_t size() const { return 4 * head.size() + value.size() + 512; }
+  std::size_t size() const { return 4 * head.size() + value_size() + 512; }
+  std::size_t value_size() const { return value ? value->size() : 0; }
 };
 
 inline void Command::clear() {
   set = repeat = value_discarded = false;
-  for (std::string* text :
-       {&id, &key, &type, &tenant, &idempotency, &value, &listener, &head, &tail})
+  for (std::string* text : {&id, &key, &type, &tenant, &idempotency, &listener, &head, &tail})
     text->clear();
+  value.reset();
   wait_ms = 0;
   waited = 0;
   work.reset();
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 #include "settings.hpp"
 
@@ -59,8 +60,6 @@
   remaining -= size;
 }
 
-constexpr std::size_t kLineEndBytes = 2;
-
 /// Removes the line end that must follow a value; false if there is none.
 bool strip_line_end(std::string& value) {
   if (value.size() < 2 || value[value.size() - 2] != '\r' || value.back() != '\n') return false;
@@ -90,18 +89,18 @@
 
 }  // namespace
 
-void append_command(std::string& out, const Command& command, std::int64_t wait_ms) {
+void append_command_line(std::string& out, const Command& command, std::int64_t wait_ms) {
   char digits[24];
   char* end = std::to_chars(digits, digits + sizeof digits, wait_ms).ptr;
-  out.reserve(out.size() + command.head.size() + command.tail.size() + sizeof digits + 4 +
-              command.value.size());
-  out.append(command.head).append(digits, end).append(command.tail).append("\r\n");
-  if (command.set) out.append(command.value).append("\r\n");
+  out.reserve(out.size() + command.head.size() + command.tail.size() + sizeof digits +
+              kLineEnd.size());
+  out.append(command.head).append(digits, end).append(command.tail).append(kLineEnd);
 }
 
 std::string command_bytes(const Command& command, std::int64_t wait_ms) {
   std::string text;
-  append_command(text, command, wait_ms);
+  append_command_line(text, command, wait_ms);
+  if (command.set) text.append(*command.value).append(kLineEnd);
   return text;
 }
 
@@ -157,7 +156,7 @@
   if (command.set) {
     auto length = number<std::size_t>(next_word(rest));
     if (!length || *length > kMaxValueBytes) return Got::Bad;
-    value_remaining_ = *length + 2;
+    value_remaining_ = *length + kLineEnd.size();
   }
   std::string_view pairs;
   bool wants_value = false;
@@ -208,10 +207,23 @@
   if (!command.set) return Got::Command;
   state_ = State::Value;
   pending_ = std::move(command);
-  pending_.value_discarded = value_remaining_ > max_kept_value_ + kLineEndBytes;
+  pending_.value_discarded = value_remaining_ > max_kept_value_ + kLineEnd.size();
+  // Grown as it comes it would take twice its size.
+  if (!pending_.value_discarded) value_.reserve(value_remaining_);
   return Got::Nothing;
 }
 
+/// Takes more of the value. Of one that is discarded only what may be its line end is kept.
+void CommandReader::take_value(std::string_view& in) {
+  if (!pending_.value_discarded) return read_bytes(in, value_, value_remaining_);
+  std::size_t size = std::min(value_remaining_, in.size());
+  std::size_t kept = std::min(size, kLineEnd.size());
+  value_.append(in.substr(size - kept, kept));
+  if (value_.size() > kLineEnd.size()) value_.erase(0, value_.size() - kLineEnd.size());
+  in.remove_prefix(size);
+  value_remaining_ -= size;
+}
+
 CommandReader::Got CommandReader::take(std::string_view& in, Command& command) {
   while (!in.empty()) {
     if (state_ == State::Line) {
@@ -223,14 +235,14 @@
       std::string().swap(partial_);
       if (got != Got::Nothing) return got;
     } else {
-      read_bytes(in, pending_.value, value_remaining_);
-      if (pending_.value_discarded && pending_.value.size() > kLineEndBytes)
-        pending_.value.erase(0, pending_.value.size() - kLineEndBytes);
+      take_value(in);
       if (value_remaining_ > 0) return Got::Nothing;
       state_ = State::Line;
-      command = std::move(pending_);
-      pending_ = Command();
-      return strip_line_end(command.value) ? Got::Command : Got::Bad;
+      std::string value = std::exchange(value_, std::string());
+      bool is_whole = strip_line_end(value);
+      command = std::exchange(pending_, Command());
+      command.value = std::make_shared<const std::string>(std::move(value));
+      return is_whole ? Got::Command : Got::Bad;
     }
   }
   return Got::Nothing;
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -13,9 +13,12 @@
 
 constexpr std::size_t kMaxLineBytes = 2048;  ///< of a line, its terminator included
 
-/// Appends `command` to `out` as it is sent to a cache server, with `wait_ms` in place of the
-/// client's timeout.
-void append_command(std::string& out, const Command& command, std::int64_t wait_ms);
+constexpr std::string_view kLineEnd = "\r\n";
+
+/// Appends the line of `command` and its end to `out` as it is sent to a cache server, with
+/// `wait_ms` in place of the client's timeout. The value of a write and kLineEnd follow it.
+void append_command_line(std::string& out, const Command& command, std::int64_t wait_ms);
+/// The whole command as it is sent.
 std::string command_bytes(const Command& command, std::int64_t wait_ms);
 /// Appends the header line of a value of `length` bytes for the request `id` to `out`.
 void append_value_head(std::string& out, const std::string& id, std::size_t length);
@@ -47,16 +50,18 @@
   /// Bytes buffered for an incomplete command, with room for the rest of its value.
   std::size_t buffered() const {
     bool keeps_value = state_ == State::Value && !pending_.value_discarded;
-    return partial_.size() + pending_.value.size() + (keeps_value ? value_remaining_ : 0);
+    return partial_.size() + value_.size() + (keeps_value ? value_remaining_ : 0);
   }
 
  private:
   enum class State { Line, Value };
   Got parse_line(std::string_view line, Command& command);
+  void take_value(std::string_view& in);
 
   State state_ = State::Line;
   std::string partial_;
   Command pending_;
+  std::string value_;  // of pending_, with its line end, as far as it has come
   std::size_t value_remaining_ = 0;
   std::size_t max_kept_value_ = kMaxValueBytes;
 };
