SIGHUP takes settings in which some classes lack a key that may be absent

Cause: a reload demanded of each class every key that any class had; the log says Classes.0.Group: missing. Even the file of the start was turned away, and the router went on by the old rules. Change: required is what all entries of a list have; AimStretch never, Group and KeyTtlUs of by_key alone. Besides the module gets the new settings alone before the transition, which hid a KeyTtlUs below 0 that ended the process. Why it works: a reload now demands no more than the keys that the present file shows to be common. Tests, each seen failing before: Reload.KeysThatMayBeAbsent..., Reload.SettingsThatAreUnusableAfter..., SettingsUpdate.ANameThatSomeEntries....

--- a/src/core/ops/settings_update.cpp
+++ b/src/core/ops/settings_update.cpp
@@ -28,6 +28,35 @@
   }
 }
 
+/// An entry of a list ("Classes.2" of "Classes"); both empty for the top level.
+struct Entry {
+  std::string entry, list;
+  bool operator<(const Entry& other) const { return entry < other.entry; }
+};
+
+using EntryNames = std::map<Entry, std::set<std::string>>;
+using NamesByList = std::map<std::string, std::set<std::string>>;
+
+EntryNames entries_of(const std::vector<std::string>& paths) {
+  EntryNames entries;
+  for (const std::string& path : paths) {
+    PathParts at = split_path(path);
+    entries[{at.entry, at.list}].insert(at.name);
+  }
+  return entries;
+}
+
+/// By list, the names that each of its entries has.
+NamesByList names_of_all_entries(const EntryNames& entries) {
+  NamesByList common;
+  for (const auto& [at, names] : entries) {
+    auto [it, is_first] = common.try_emplace(at.list, names);
+    if (is_first) continue;
+    std::erase_if(it->second, [&](const std::string& name) { return !names.count(name); });
+  }
+  return common;
+}
+
 int strictness(Effect effect) {
   return effect == Effect::Once ? 2 : effect == Effect::Keyed ? 1 : 0;
 }
@@ -38,25 +67,14 @@
 
 std::string missing_path(const std::vector<std::string>& shape,
                          const std::vector<std::string>& paths) {
-  std::map<std::string, std::set<std::string>>
-      required;  // required names by list; the empty list is the top level
-  for (const std::string& path : shape) {
-    PathParts at = split_path(path);
-    required[at.list].insert(at.name);
-  }
-  std::map<std::string, std::set<std::string>> entries;  // names by entry
-  std::map<std::string, std::string> lists;              // of each entry
-  for (const std::string& path : paths) {
-    PathParts at = split_path(path);
-    entries[at.entry].insert(at.name);
-    lists[at.entry] = at.list;
-  }
-  entries[std::string()];
-  for (const auto& [entry, names] : entries) {
-    auto it = required.find(lists[entry]);
+  NamesByList required = names_of_all_entries(entries_of(shape));
+  EntryNames entries = entries_of(paths);
+  entries[{}];
+  for (const auto& [at, names] : entries) {
+    auto it = required.find(at.list);
     if (it == required.end()) continue;
     for (const std::string& name : it->second)
-      if (!names.count(name)) return entry.empty() ? name : entry + "." + name;
+      if (!names.count(name)) return at.entry.empty() ? name : at.entry + "." + name;
   }
   return {};
 }
--- a/src/core/ops/settings_update.hpp
+++ b/src/core/ops/settings_update.hpp
@@ -15,8 +15,8 @@
 constexpr Micros kSettingsTransition = 1'500'000;
 
 /// Returns the first path of `shape` that `paths` lacks, or an empty string. Numbers in paths are
-/// list indices and match any index: each entry of a list in `paths` must have everything that the
-/// entries of that list in `shape` have.
+/// list indices and match any index: each entry of a list in `paths` must have everything that all
+/// entries of that list in `shape` have. What only some of them have may be absent.
 std::string missing_path(const std::vector<std::string>& shape,
                          const std::vector<std::string>& paths);
 
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "core/ops/settings_update.hpp"
 #include "file_io.hpp"
@@ -139,6 +140,27 @@
   return it->get<std::string>();
 }
 
+/// Adds the paths of the settings. Keys of a class that may always be absent are left out, and
+/// those that stand for one effect alone are listed apart, so that only classes of that effect need
+/// them.
+void add_setting_paths(const std::map<std::string, std::string>& pairs, Config& config) {
+  const auto& classes = config.settings.classes;
+  std::set<std::string> left_out;
+  for (std::size_t k = 0; k < classes.size(); ++k) {
+    std::string number = std::to_string(k) + ".", at = "Classes." + number;
+    bool is_keyed = classes[k].effect == violetusher::Effect::Keyed;
+    left_out.insert(at + "AimStretch");
+    if (is_keyed) config.paths.push_back("settings.KeyedClasses." + number + "Name");
+    for (const char* name : {"Group", "KeyTtlUs"}) {
+      left_out.insert(at + name);
+      if (is_keyed && pairs.count(at + name))
+        config.paths.push_back("settings.KeyedClasses." + number + name);
+    }
+  }
+  for (const auto& [path, value] : pairs)
+    if (!left_out.count(path)) config.paths.push_back("settings." + path);
+}
+
 Config config_from_json(const Json& json) {
   if (!json.is_object()) throw ConfigError("NODE_CONFIG: the file is not a JSON object");
   Config c;
@@ -174,12 +196,12 @@
   const Json& settings = required_member(json, "settings");
   if (!settings.is_object()) throw ConfigError("settings: not an object");
   flatten(settings, "", pairs);
-  for (const auto& [name, item] : json.items()) c.paths.push_back(name);
-  for (const auto& [path, value] : pairs) c.paths.push_back("settings." + path);
   try {
     violetusher::protocol::SettingPairs by_path(pairs.begin(), pairs.end());
     c.settings = violetusher::protocol::settings_of(by_path);
     c.connection_settings = violetusher::protocol::connection_settings_of(by_path);
+    for (const auto& [name, item] : json.items()) c.paths.push_back(name);
+    add_setting_paths(pairs, c);
   } catch (const std::runtime_error& e) {
     throw ConfigError(std::string("settings: ") + e.what());
   }
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -239,6 +239,8 @@
   // The current settings may themselves be a transition; the classes of both are accepted until its
   // end.
   try {
+    // The transition may hide what the module would not take at its end.
+    violetusher::Balancer(config.settings, config.seed, now);
     update_settings(core::ops::strictest_of(config_.settings, config.settings));
   } catch (const std::invalid_argument& e) {
     log_.write(now, Log::Level::kError, "reload-bad-settings",
--- a/tests/core/ops/ops_test.cpp
+++ b/tests/core/ops/ops_test.cpp
@@ -77,6 +77,14 @@
   RC_ASSERT(missing_path(kShape, paths) == removed);
 }
 
+/// Guards against turning away settings for a key that only some of the present entries have.
+TEST(SettingsUpdate, ANameThatSomeEntriesLackMayBeAbsent) {
+  auto shape = kShape;
+  shape.push_back("settings.Classes.1.AimStretch");
+  EXPECT_EQ(missing_path(shape, kShape), "");
+  EXPECT_EQ(missing_path(shape, shape), "");
+}
+
 TEST(SettingsUpdate, ARemovedClassIsNoMissingPath) {
   auto paths = kShape;
   paths.resize(paths.size() - 2);
--- a/tests/daemon/reload_test.cpp
+++ b/tests/daemon/reload_test.cpp
@@ -41,6 +41,74 @@
   EXPECT_EQ(later.line(), "VA 5 Oa2");
 }
 
+/// A configuration file with these classes.
+std::string with_classes(const std::vector<std::string>& classes) {
+  std::string text = config_text({});
+  std::size_t from = text.find("\"Classes\":["), to = text.find("],\"Tenants\"");
+  std::string list;
+  for (const std::string& one : classes) list += (list.empty() ? "" : ",") + one;
+  return text.replace(from, to - from, "\"Classes\":[" + list);
+}
+
+std::string class_entry(const std::string& name, const std::string& effect,
+                        const std::string& more = "") {
+  return R"({"Name":")" + name + R"(","Effect":")" + effect +
+         R"(","ObjectiveUs":1000,"DeadlineUs":9000)" + more + "}";
+}
+
+const std::string kKeyed = R"(,"Group":"all","KeyTtlUs":5000)";
+
+/// Rereads `text` under a router that was started with `start`; the error, or an empty string.
+std::string reload_error(const std::string& start, const std::string& text) {
+  std::string path = ::testing::TempDir() + "/reload-" + std::to_string(::getpid()) + ".json";
+  std::ofstream(path, std::ios::trunc) << text;
+  ::setenv("NODE_CONFIG", path.c_str(), 1);
+  std::string error;
+  try {
+    reload_config(parse_config(start), path);
+  } catch (const ConfigError& e) {
+    error = e.what();
+  }
+  ::unsetenv("NODE_CONFIG");
+  std::remove(path.c_str());
+  return error;
+}
+
+/// Guards against turning away settings that a start would take: the router goes on by the old
+/// ones, and repeats requests of a class that may now run only once.
+TEST(Reload, KeysThatMayBeAbsentAreNotRequired) {
+  std::string lookup = class_entry("read", "repeatable"),
+              put = class_entry("put", "by_key", kKeyed);
+  std::string once = class_entry("put", "once"), count = class_entry("count", "repeatable");
+  std::string stretched = class_entry("read", "repeatable", R"(,"AimStretch":1.5)");
+  EXPECT_EQ(reload_error(with_classes({lookup, put}), with_classes({lookup, put})), "");
+  EXPECT_EQ(reload_error(with_classes({lookup, put}), with_classes({lookup, once, count})), "");
+  EXPECT_EQ(reload_error(with_classes({put}), with_classes({once})), "");
+  EXPECT_EQ(reload_error(with_classes({stretched}), with_classes({lookup})), "");
+  EXPECT_EQ(reload_error(with_classes({stretched, put}), with_classes({stretched, once})), "");
+}
+
+/// DAYS: files that lack a key are broken.
+TEST(Reload, AMissingKeyIsAnError) {
+  std::string lookup = class_entry("read", "repeatable"),
+              put = class_entry("put", "by_key", kKeyed);
+  std::string no_time = class_entry("put", "by_key", R"(,"Group":"all")");
+  EXPECT_NE(reload_error(with_classes({lookup, put}), with_classes({lookup, no_time})), "");
+  EXPECT_NE(reload_error(with_classes({lookup}),
+                         with_classes({R"({"Name":"read","Effect":"once","DeadlineUs":9})"})),
+            "");
+}
+
+/// Guards against settings that the transition hides until its end, where they ended the process.
+TEST(Reload, SettingsThatAreUnusableAfterTheTransitionAreRefused) {
+  LineServer cache(good_cache);
+  RunningRouter router({.dials = {cache.address()}, .once_class = true});
+  Config config = router.config();
+  config.settings.classes[2].effect = violetusher::Effect::Keyed;  // "pay", until now once
+  config.settings.classes[2].key_ttl = -1;
+  router.post([&](Router& r) { EXPECT_FALSE(r.reload(config)); });
+}
+
 /// The daemon process: SIGHUP with valid and invalid files, then SIGTERM.
 TEST(Program, SurvivesInvalidReloadsAndEndsOnSigterm) {
   LineServer cache(good_cache);
