The end of a shutdown answers a bounded input: a client at full speed doesn't hold it up

Cause: since the exit follows the delivery of the last answers, it waits until every connection is without a request. A client at full speed never is: each read of the end gives it something more to answer, and no time ends that.

Evidence: hypotheses were a connection that always has commands to answer, and one that is closing whose client's system takes its last bytes late. A trace line for each connection not yet delivered at a poll (a trial, not kept): 969 of 969 had commands to answer, none was closing.

Fix: a connection's input ends at 1,024 commands or 4 MiB read after the end has begun; clients that ask now and then keep their answers. Related: a command that was received whole and is longer than one read was cut in its middle at the end; it is read while more of it is there. A command held back behind a streamed value is no longer held once it will be rejected.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -36,6 +36,10 @@
 constexpr std::size_t kMaxLingerBytes = 256u << 10;
 // Capacity that an empty output buffer keeps for the next response.
 constexpr std::size_t kMaxKeptOutputBytes = 2048;
+// Input of one connection that is answered at the end of a shutdown. Clients have some commands on
+// their way, or the largest value; one that sends at full speed would go on for ever.
+constexpr int kMaxLastCommands = 1024;
+constexpr std::size_t kMaxLastBytes = 4u << 20;
 // Slots kept for later commands, over all connections.
 constexpr std::size_t kMaxSpareSlots = 256;
 
@@ -92,6 +96,7 @@
     on_eof();
     return;
   }
+  if (side_.closing_all_) last_bytes_ += static_cast<std::size_t>(got);
   Micros now = side_.io_.now();
   if (!in_command()) since_ = now;
   last_read_at_ = now;
@@ -127,6 +132,7 @@
     auto got = reader_.take(in, command);
     if (got == CommandReader::Got::Nothing) break;
     since_ = side_.io_.now();
+    if (side_.closing_all_) ++last_commands_;
     switch (got) {
       case CommandReader::Got::Command:
         mark_command_received();
@@ -151,18 +157,25 @@
         break;
     }
   }
+  limit_last_input();
   if (input_ended() || closed_) in = {};
 }
 
+/// Nothing more is read from a client that keeps sending at the end of a shutdown.
+void ClientConnection::limit_last_input() {
+  protocol_error_ |= last_commands_ >= kMaxLastCommands || last_bytes_ >= kMaxLastBytes;
+}
+
 /// A value that breaks off closes the connection: what has run behind it could not be answered.
 bool ClientConnection::must_hold(const Command& command) const {
+  if (side_.closing_all_) return false;  // it is rejected
   auto may_break_off = [](const ResponseSlot& slot) { return slot.may_stream && !slot.done; };
   return std::any_of(slots_.begin(), slots_.end(), may_break_off) &&
          side_.handler_.may_have_effect(command);
 }
 
 void ClientConnection::release_held_command() {
-  if (!held_ || input_ended() || (!side_.closing_all_ && must_hold(*held_))) return;
+  if (!held_ || input_ended() || must_hold(*held_)) return;
   std::unique_ptr<Command> command = std::move(held_);
   command->waited = side_.io_.now() - held_since_;
   handle_command(std::move(*command));
@@ -308,7 +321,8 @@
   // A command that has arrived by now must be answered: read before the connection may close. At
   // the end of a shutdown it is rejected.
   if (side_.closing_all_ && !unparsed_.empty()) parse_deferred();
-  if (quiescent() && may_close_for_shutdown() && !eof_ && !lingering_) read();
+  bool shutting_down = side_.closing_all_ || may_close_for_shutdown();
+  if (quiescent() && shutting_down && !eof_ && !lingering_) read();
   if (closed_) return;
   if (quiescent() && (eof_ || protocol_error_ || over_limit_ || may_close_for_shutdown())) {
     start_lingering_close(may_close_for_shutdown() ? CloseReason::kStopping
@@ -363,7 +377,9 @@
 
 /// Whether a router that is shutting down may close this connection.
 bool ClientConnection::may_close_for_shutdown() const {
-  if (side_.closing_all_) return true;
+  // A command may have been received whole and be read in parts.
+  if (side_.closing_all_)
+    return protocol_error_ || !in_command() || !side_.io_.may_have_input(socket_.number());
   if (!side_.draining_ || in_command()) return false;
   return command_received_ || side_.io_.now() - last_active_at_ > kFirstCommandGrace;
 }
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -103,6 +103,7 @@
   void refuse_held_command();
   void handle_command(Command&& command);
   void mark_command_received();
+  void limit_last_input();
   void on_eof();
   ResponseSlot& add_slot();
   void release_slot();
@@ -114,6 +115,9 @@
 
   std::string unparsed_;     // bytes read that cannot be parsed yet
   Micros last_read_at_ = 0;  // when the last bytes were read
+  // Read at the end of a shutdown; see limit_last_input().
+  int last_commands_ = 0;
+  std::size_t last_bytes_ = 0;
   std::string out_;
   std::size_t out_at_ = 0;
   std::size_t lingered_bytes_ = 0;  // bytes discarded since our FIN
--- a/tests/net/loop_turn_test.cpp
+++ b/tests/net/loop_turn_test.cpp
@@ -37,6 +37,39 @@
   EXPECT_EQ(w.io.ends[client].out.size(), 12'000u);
 }
 
+/// Guards against a shutdown that does not end as long as a client sends at full speed: each read
+/// gave it something to answer.
+TEST(LoopTurns, AClientAtFullSpeedDoesNotKeepARouterFromItsEnd) {
+  CoreFixture w;
+  int client = w.client();
+  w.receive(client, "mn\r\n");
+  w.flush();
+  w.io.ends[client].endless_input = noops(20);
+  w.clients.drain();
+  w.clients.close_all();
+  for (int k = 0; k < 1000; ++k) w.flush();
+  EXPECT_TRUE(w.ended(client));
+}
+
+/// Guards against a close in the middle of a command that had been received whole.
+TEST(LoopTurns, TheEndOfAShutdownAnswersWhatHadBeenReceived) {
+  CoreFixture w;
+  int client = w.client();
+  w.receive(client, noops(1));
+  w.flush();
+  w.io.ends[client].in = noops(40) + write_command("put", "a", "1500", std::string(60'000, 'v'));
+  w.clients.drain();
+  w.clients.close_all();
+  for (int k = 0; k < 100; ++k) {
+    w.clients.close_all();
+    w.flush();
+  }
+  EXPECT_TRUE(w.ended(client));
+  std::string answers;
+  for (int k = 0; k < 41; ++k) answers += "MN\r\n";
+  EXPECT_EQ(w.io.ends[client].out, answers + "SERVER_ERROR busy\r\n");
+}
+
 /// Guards against a shutdown that serves only clients that send at full speed: the requests of
 /// others get their answers, and the router ends in time.
 TEST(LoopTurns, ClientsAtFullSpeedDoNotKeepARouterFromItsShutdown) {
