An attempt is ended at its server in one function; one set-up for tests of keyed classes

Cause: cancelling an attempt at its server and recording that stood in four places of RequestCore, and two policy tests built the same settings.

Change: RequestCore::end_at_server; keyed_settings() in the policy tests; an unused include is gone. Behaviour is the same.

--- a/src/net/request_actions.cpp
+++ b/src/net/request_actions.cpp
@@ -136,9 +136,7 @@
     return;
   Attempt& attempt = open->attempt(action.attempt);
   if (!attempt.in_flight || action.attempt == open->streaming_attempt) return;
-  Status status = deps_.servers.cancel(attempt.server, action.id, action.attempt);
-  record_event(Kind::kCancelled, action.id, action.attempt, 0, static_cast<std::int64_t>(status),
-               {}, Reason::kModule);
+  Status status = end_at_server(*open, action.attempt, Reason::kModule);
   report_outcome(*open, action.attempt, status, nullptr);
 }
 
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -143,10 +143,7 @@
   open->response.abandon();
   if (open->stream) {
     open->stream.abandon();
-    Attempt& a = open->attempt(open->streaming_attempt);
-    Status status = deps_.servers.cancel(a.server, id, open->streaming_attempt);
-    record_event(Kind::kCancelled, id, open->streaming_attempt, 0,
-                 static_cast<std::int64_t>(status), {}, Reason::kClientLeft);
+    Status status = end_at_server(*open, open->streaming_attempt, Reason::kClientLeft);
     report_outcome(*open, open->streaming_attempt, status, nullptr);
   }
   record_event(Kind::kClientGone, id);
@@ -336,6 +333,13 @@
                    {"answer_bytes", answer_bytes}});
 }
 
+/// Cancels the attempt at its server and returns what became of it; the caller reports its outcome.
+Status RequestCore::end_at_server(OpenRequest& open, int attempt, Reason why) {
+  Status status = deps_.servers.cancel(open.attempt(attempt).server, open.id, attempt);
+  record_event(Kind::kCancelled, open.id, attempt, 0, static_cast<std::int64_t>(status), {}, why);
+  return status;
+}
+
 void RequestCore::report_outcome(OpenRequest& open, int attempt, Status status, Answer* answer) {
   Attempt& a = open.attempt(attempt);
   a.in_flight = false;
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -118,6 +118,7 @@
   void end_at_key_expiry(OpenRequest& open);
   bool another_may_run(const OpenRequest& open, int attempt) const;
   void end_stream(OpenRequest& open, bool whole);
+  Status end_at_server(OpenRequest& open, int attempt, Reason why);
   void report_outcome(OpenRequest& open, int attempt, Status status, Answer* answer);
   void report_disconnect(OpenRequest& open);
   void withdraw_unsent(OpenRequest& open);
--- a/src/net/request_time_limits.cpp
+++ b/src/net/request_time_limits.cpp
@@ -118,10 +118,7 @@
     const Attempt& a = open.attempts[k];
     if (!a.in_flight || !another_may_run(open, attempt)) continue;
     if (deps_.servers.request_taken(a.server, open.id, attempt)) continue;
-    Status status = deps_.servers.cancel(a.server, open.id, attempt);
-    record_event(Kind::kCancelled, open.id, attempt, 0, static_cast<std::int64_t>(status), {},
-                 Reason::kKeyExpired);
-    report_outcome(open, attempt, status, nullptr);
+    report_outcome(open, attempt, end_at_server(open, attempt, Reason::kKeyExpired), nullptr);
   }
 }
 
@@ -134,11 +131,8 @@
 }
 
 void RequestCore::end_at_time_limit(OpenRequest& open, int attempt) {
-  Attempt& a = open.attempt(attempt);
-  if (!a.in_flight || attempt == open.streaming_attempt) return;
-  Status status = deps_.servers.cancel(a.server, open.id, attempt);
-  record_event(Kind::kCancelled, open.id, attempt, 0, static_cast<std::int64_t>(status), {},
-               Reason::kDeadline);
+  if (!open.attempt(attempt).in_flight || attempt == open.streaming_attempt) return;
+  Status status = end_at_server(open, attempt, Reason::kDeadline);
   report_outcome(open, attempt, status == Status::NotSent ? Status::ConnectFailed : Status::Timeout,
                  nullptr);
 }
--- a/tests/daemon/memory_limit_test.cpp
+++ b/tests/daemon/memory_limit_test.cpp
@@ -1,7 +1,5 @@
 // A daemon process at a small limit on memory: whatever its clients and cache servers do at the
 // same time, it holds less than the limit for itself.
-#include <optional>
-
 #include "paced_server.hpp"
 #include "process_support.hpp"
 
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -761,13 +761,17 @@
   EXPECT_GT(greedy, modest + 20);
 }
 
-// Guards against a repeat of a Keyed request that waits for a connection and is sent after the
-// servers have forgotten its key.
-TEST(Attempts, RepeatOfAKeyedRequestHasASendDeadline) {
+Settings keyed_settings() {
   Settings s = basic_settings();
   s.classes[0].effect = Effect::Keyed;
   s.classes[0].key_ttl = 400 * kMs;
-  Balancer b(s, 1, 0);
+  return s;
+}
+
+// Guards against a repeat of a Keyed request that waits for a connection and is sent after the
+// servers have forgotten its key.
+TEST(Attempts, RepeatOfAKeyedRequestHasASendDeadline) {
+  Balancer b(keyed_settings(), 1, 0);
   b.start(0);
   b.on_list(0, ListScope::Full, fleet(6));
   auto first = actions_of<Send>(b.on_request(10 * kMs, make_read(1, "k")));
@@ -782,10 +786,7 @@
 // Guards against refusing all writes since some were given up as their keys expired: their servers
 // read slowly, which is no sign of load.
 TEST(Attempts, GivenUpAsTheKeyExpiresIsNoSignOfLoad) {
-  Settings s = basic_settings();
-  s.classes[0].effect = Effect::Keyed;
-  s.classes[0].key_ttl = 400 * kMs;
-  Balancer b(s, 1, 0);
+  Balancer b(keyed_settings(), 1, 0);
   b.start(0);
   b.on_list(0, ListScope::Full, fleet(6));
   Micros now = 0;
