SIGHUP: SecondCopies is the stricter of both settings during the transition

Cause: strictest_of took Limits.SecondCopies from the new settings, so requests that came where second copies were not allowed got one as soon as a file allowed them.

Measured: the property SettingsUpdate.ATransitionAllowsNothingThatEitherForbids, extended to it, failed before and passes now.

--- a/src/core/ops/settings_update.cpp
+++ b/src/core/ops/settings_update.cpp
@@ -102,6 +102,7 @@
 Settings strictest_of(const Settings& from, const Settings& to) {
   Settings both = to;
   both.max_attempts = std::min(from.max_attempts, to.max_attempts);
+  both.may_hedge = from.may_hedge && to.may_hedge;
   for (const ClassSettings& old : from.classes) {
     auto it = std::find_if(both.classes.begin(), both.classes.end(),
                            [&](const ClassSettings& c) { return c.name == old.name; });
--- a/src/core/ops/settings_update.hpp
+++ b/src/core/ops/settings_update.hpp
@@ -24,8 +24,8 @@
 std::string settings_error(const Settings& settings);
 
 /// Merges the settings of a transition: the tenants and classes of both, `to`'s first, each with
-/// the stricter of the two rules on repeats, the longer deadline, and the smaller number of
-/// attempts.
+/// the stricter of the two rules on repeats, the longer deadline, the smaller number of
+/// attempts, and a second one beside the first only where both allow it.
 Settings strictest_of(const Settings& from, const Settings& to);
 
 }  // namespace violetusher::core::ops
--- a/tests/core/ops/ops_test.cpp
+++ b/tests/core/ops/ops_test.cpp
@@ -120,8 +120,11 @@
   to.classes = {*any_class("new"), *any_class("a")};
   from.max_attempts = *rc::gen::inRange(1, 6);
   to.max_attempts = *rc::gen::inRange(1, 6);
+  from.may_hedge = *rc::gen::arbitrary<bool>();
+  to.may_hedge = *rc::gen::arbitrary<bool>();
   Settings both = strictest_of(from, to);
   RC_ASSERT(both.max_attempts == std::min(from.max_attempts, to.max_attempts));
+  RC_ASSERT(both.may_hedge == (from.may_hedge && to.may_hedge));
   RC_ASSERT(both.classes.size() == 3u);
   auto a = std::find_if(both.classes.begin(), both.classes.end(),
                         [](const auto& c) { return c.name == "a"; });
