A request keeps the effect of its class that it came under

Callers would see: SERVER_ERROR busy, "try again", for a request of class once that had run, if new settings had made the class repeatable and there was no room for its value.

Cause: RequestCore asked the present settings for the class of an open request, in three places: the answer without room, the claim of its id, and whether a refusal has to be its own.

Fix: OpenRequest has the effect and the group of its class as it came.

--- a/src/net/request_actions.cpp
+++ b/src/net/request_actions.cpp
@@ -12,6 +12,14 @@
 const Reply kFailedReply(Reply::Kind::Failed);
 const Reply kBusyReply(Reply::Kind::Busy);
 
+/// A request that may take effect twice goes to other servers once it is known not to have run: its
+/// refusal must be its own.
+ServerSide::OwnAnswer own_answer(const OpenRequest& open) {
+  using OwnAnswer = ServerSide::OwnAnswer;
+  if (!open.may_take_effect_twice()) return OwnAnswer::kNotRequired;
+  return open.command.set ? OwnAnswer::kOfWrite : OwnAnswer::kOfRead;
+}
+
 }  // namespace
 
 bool RequestCore::describe(RequestId id, violetusher::Request& request) {
@@ -73,7 +81,7 @@
   }
   if (action.send_before != violetusher::Send::kAnyTime) set_key_expiry(*open, action.send_before);
   deps_.servers.send(action.server, action.id, attempt, open->command,
-                     {now + wait, action.send_before, own_answer(open->command)});
+                     {now + wait, action.send_before, own_answer(*open)});
 }
 
 /// Claims the id of a request that no server keeps from running twice, before its first attempt. If
@@ -81,7 +89,7 @@
 /// request gets its final response now: failed, as a retry would not be harmless.
 bool RequestCore::claim_id(OpenRequest& open) {
   if (!open.attempts.empty()) return true;
-  if (!may_take_effect_twice(open.command)) return true;
+  if (!open.may_take_effect_twice()) return true;
   open.claims_id = deps_.claims.claim(deps_.io.uptime(), open.command.id);
   if (open.claims_id) return true;
   respond(open, kFailedReply, Reason::kDuplicateId);
--- a/src/net/request_core.cpp
+++ b/src/net/request_core.cpp
@@ -18,6 +18,11 @@
 const Reply kBusyReply(Reply::Kind::Busy);
 const Reply kBadReply(Reply::Kind::Bad);
 
+/// The request has run: the client is told to try again only where that is harmless.
+const Reply& reply_without_room(const OpenRequest& open) {
+  return open.effect == violetusher::Effect::Repeatable ? kBusyReply : kFailedReply;
+}
+
 }  // namespace
 
 RequestCore::RequestCore(const Dependencies& dependencies, RequestTable::Bounds bounds)
@@ -91,6 +96,8 @@
   }
 
   OpenRequest& open = table_.insert(id, std::move(command));
+  open.effect = type->effect;
+  open.group = type->group;
   open.response = std::move(response);
   ++unanswered_;
   open.deadline = now + wait;
@@ -212,28 +219,6 @@
   return type && type->effect != violetusher::Effect::Repeatable;
 }
 
-/// Whether there may be servers that would run the request after another one has.
-bool RequestCore::may_take_effect_twice(const Command& command) const {
-  using violetusher::Effect;
-  const auto* type = class_of(command);
-  if (!type || type->effect == Effect::Once) return true;
-  return type->effect == Effect::Keyed && type->group != violetusher::Group::All;
-}
-
-/// Such a request goes to other servers once it is known not to have run: its refusal must be its
-/// own.
-ServerSide::OwnAnswer RequestCore::own_answer(const Command& command) const {
-  using OwnAnswer = ServerSide::OwnAnswer;
-  if (!may_take_effect_twice(command)) return OwnAnswer::kNotRequired;
-  return command.set ? OwnAnswer::kOfWrite : OwnAnswer::kOfRead;
-}
-
-/// The request has run: the client is told to try again only where that is harmless.
-const Reply& RequestCore::reply_without_room(const OpenRequest& open) const {
-  const auto* type = class_of(open.command);
-  return type && type->effect == violetusher::Effect::Repeatable ? kBusyReply : kFailedReply;
-}
-
 void RequestCore::fail_all() {
   table_.each([this](OpenRequest& open) {
     if (open.answered()) return;
--- a/src/net/request_core.hpp
+++ b/src/net/request_core.hpp
@@ -108,9 +108,6 @@
   void respond_with(OpenRequest& open, const Answer& answer);
   /// The settings of the request's class now; null if they have dropped it.
   const violetusher::ClassSettings* class_of(const Command& command) const;
-  bool may_take_effect_twice(const Command& command) const;
-  ServerSide::OwnAnswer own_answer(const Command& command) const;
-  const Reply& reply_without_room(const OpenRequest& open) const;
   bool within_retry_budget(OpenRequest& open);
   bool claim_id(OpenRequest& open);
   void begin_stream(OpenRequest& open);
--- a/src/net/request_table.cpp
+++ b/src/net/request_table.cpp
@@ -28,6 +28,11 @@
   module_timers.clear();
 }
 
+bool OpenRequest::may_take_effect_twice() const {
+  using violetusher::Effect;
+  return effect == Effect::Once || (effect == Effect::Keyed && group != violetusher::Group::All);
+}
+
 bool OpenRequest::any_in_flight() const {
   return std::any_of(attempts.begin(), attempts.end(),
                      [](const Attempt& a) { return a.in_flight; });
--- a/src/net/request_table.hpp
+++ b/src/net/request_table.hpp
@@ -28,6 +28,9 @@
 struct OpenRequest {
   RequestId id = 0;
   Command command;
+  // Of its class when it came: an update of the settings does not change them.
+  violetusher::Effect effect = violetusher::Effect::Once;
+  violetusher::Group group = violetusher::Group::All;
   PendingResponse response;  ///< empty once sent or the client has disconnected
   Micros deadline = 0;
   int undelivered_events = 0;  ///< events of it queued for the module
@@ -50,6 +53,8 @@
   bool answered() const { return !response; }
   /// No response, event or attempt is pending.
   bool done() const;
+  /// Whether there may be servers that would run it after another one has.
+  bool may_take_effect_twice() const;
   /// Whether any attempt has no outcome yet.
   bool any_in_flight() const;
   Attempt& attempt(int number) { return attempts[static_cast<std::size_t>(number)]; }
--- a/tests/net/request_core_test.cpp
+++ b/tests/net/request_core_test.cpp
@@ -126,6 +126,26 @@
   EXPECT_EQ(w.timers.size(), 0u);
 }
 
+/// Guards against telling a client to try again, as its class may be repeated by now, when its
+/// request has run.
+TEST(SettingsUpdate, ARequestKeepsTheEffectThatItCameUnder) {
+  CoreFixture w({100, 1u << 20}, {.buffer_bytes = 16u << 10});
+  auto& read_class = w.config.settings.classes[0];
+  read_class.effect = violetusher::Effect::Once;
+  int client = w.client();
+  w.receive(client, read_command("a"));
+  w.deliver_events();
+  w.core.send({1, "s-0", 0});
+  int server = w.io.dialled.back();
+  w.io.ready(server, Watch::kWritable);
+  w.flush();
+  read_class.effect = violetusher::Effect::Repeatable;
+  w.io.ends[server].in = value_for("mg k1 v Oa ", std::string(60'000, 'v'));
+  for (int k = 0; k < 10; ++k) w.io.ready(server, Watch::kReadable);
+  w.flush();
+  EXPECT_EQ(w.io.ends[client].out, "SERVER_ERROR failed\r\n");
+}
+
 TEST(Bounds, RejectedRequestsLeaveNoState) {
   CoreFixture w({2, 1u << 20});
   int socket = w.client();
