Lengths of time in the settings are cut to 35 years, so that sums with them hold

Callers saw: with KeyTtlUs at the largest integer a keyed write whose connection broke was refused and not sent again.

Cause: times of the settings were read up to the largest integer, and added to the present time: the sum overflows and lies in the past. The same with the drain grace and the span of slow start.

Fix: one reader for lengths of time, which cuts them to 2^50 microseconds. What a length may be is checked as before.

Measured: Settings.TheLongestWindowLetsAKeyedWriteBeSentAgain failed before (SERVER_ERROR busy) and passes now.

--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -1,5 +1,6 @@
 #include "settings.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -40,6 +41,9 @@
 
 namespace {
 
+// 35 years.
+constexpr Micros kMaxSpan = Micros{1} << 50;
+
 /// Typed lookups by path; an absent or empty value yields the default.
 struct Reader {
   const SettingPairs& by_path;
@@ -54,6 +58,11 @@
   std::int64_t integer(const std::string& path, std::int64_t fallback) const {
     return text(path).empty() ? fallback : to_integer(text(path), path);
   }
+  /// A length of time, cut to what can be added to any time. What it may be is for those who use
+  /// it.
+  Micros span(const std::string& path, Micros fallback) const {
+    return std::clamp<Micros>(integer(path, fallback), -kMaxSpan, kMaxSpan);
+  }
 };
 
 }  // namespace
@@ -67,6 +76,7 @@
   auto integer = [&](const std::string& path, std::int64_t fallback) {
     return read.integer(path, fallback);
   };
+  auto span = [&](const std::string& path, Micros fallback) { return read.span(path, fallback); };
   auto flag = [&](const std::string& path) {
     return !text(path).empty() && to_flag(text(path), path);
   };
@@ -79,14 +89,14 @@
     std::string at = "Classes." + std::to_string(k) + ".";
     ClassSettings c;
     c.name = text(at + "Name");
-    c.latency_objective = integer(at + "ObjectiveUs", 0);
-    c.deadline = integer(at + "DeadlineUs", 0);
+    c.latency_objective = span(at + "ObjectiveUs", 0);
+    c.deadline = span(at + "DeadlineUs", 0);
     c.worth = number(at + "Worth", 1);
     c.late_worth = number(at + "LateWorth", 0);
     // Required: a default would treat the class as safe to repeat.
     c.effect = word(kEffect, text(at + "Effect"), at + "Effect");
     if (!text(at + "Group").empty()) c.group = word(kGroup, text(at + "Group"), at + "Group");
-    c.key_ttl = integer(at + "KeyTtlUs", 0);
+    c.key_ttl = span(at + "KeyTtlUs", 0);
     c.streamed = flag(at + "Streamed");
     s.classes.push_back(std::move(c));
   }
@@ -114,19 +124,19 @@
   s.weights_listed = text("Weights") != "off" && !text("Weights").empty();
   s.max_attempts =
       static_cast<int>(in_range(integer("Limits.MaxAttempts", 1), 1, 1'000, "Limits.MaxAttempts"));
-  s.max_retry_after = integer("Limits.MaxRetryAfterUs", 0);
-  s.timer_granularity = integer("TickUs", 1000);
+  s.max_retry_after = span("Limits.MaxRetryAfterUs", 0);
+  s.timer_granularity = span("TickUs", 1000);
   s.cross_zone_charge = number("Charges.CrossZone", 0);
   s.waste_charge = number("Charges.Waste", 0);
   s.late_fail_charge = number("Charges.LateFail", 0);
   s.over_share_worth = number("OverShareWorth", 1);
-  s.answer_slack = integer("Rules.AnswerSlackUs", 0);
-  s.list_refresh_interval = integer("Rules.AskWithinUs", 10'000'000);
-  s.drain_grace = integer("Rules.DrainGraceUs", 0);
+  s.answer_slack = span("Rules.AnswerSlackUs", 0);
+  s.list_refresh_interval = span("Rules.AskWithinUs", 10'000'000);
+  s.drain_grace = span("Rules.DrainGraceUs", 0);
   s.slow_start_min_fraction = number("Rules.ColdShare", 0.3);
-  s.slow_start_window = integer("Rules.ColdUs", 0);
+  s.slow_start_window = span("Rules.ColdUs", 0);
   s.overload_factor = number("Rules.OverloadFactor", 3);
-  s.overload_window = integer("Rules.TipAfterUs", 1'500'000);
+  s.overload_window = span("Rules.TipAfterUs", 1'500'000);
   return s;
 }
 
@@ -134,7 +144,7 @@
   Reader read{by_path};
   ConnectionSettings l;
   auto positive = [&](const char* path, std::int64_t fallback) {
-    return in_range(read.integer(path, fallback), 1, std::int64_t{1} << 50, path);
+    return in_range(read.integer(path, fallback), 1, kMaxSpan, path);
   };
   l.streams = static_cast<int>(
       std::min<std::int64_t>(positive("Limits.StreamsPerConn", l.streams), 1'000'000));
--- a/tests/net/race_test.cpp
+++ b/tests/net/race_test.cpp
@@ -445,6 +445,22 @@
   EXPECT_EQ(client.line(), "VA 5 Oa");
 }
 
+/// Guards against a time in the settings to which nothing can be added: with a window that never
+/// ends a keyed write was not sent again, as the sum lay in the past.
+TEST(Settings, TheLongestWindowLetsAKeyedWriteBeSentAgain) {
+  std::atomic<int> asked{0};
+  auto reply = [&](const std::string& line, int) {
+    return asked++ == 0 ? std::string() : "HD O" + id_of(line) + " cR\r\n";
+  };
+  LineServer one(reply, /*close_after_reply=*/true), two(reply, /*close_after_reply=*/true);
+  RunningRouter router({.dials = {one.address(), two.address()},
+                        .key_ttl_us = std::to_string(std::numeric_limits<std::int64_t>::max())});
+  Client client(router.port());
+  client.send(write_command("put", "a", "1500"));
+  EXPECT_EQ(client.line(), "HD Oa cR");
+  EXPECT_EQ(asked, 2);
+}
+
 /// Guards against leftovers of the previous configuration: what is removed is served until the end
 /// of the transition and is unknown afterwards.
 TEST(Settings, OfAnotherDeploymentLeaveNothingOfTheOld) {
