Log each call to discovery and each list put to use, and count calls by outcome

Each call now has a number, the reason it is made for (start, continuation, renewal, retry, ...), its outcome and its duration: event discovery-call; calls to an agent only where they fail. A list with entries is told by list-in-use, with who drains and how long ago the list before was confirmed. DUMP has list_version and discovery_calls by outcome.

No behaviour changes.

--- /dev/null
+++ b/src/core/membership/call_counts.hpp
@@ -0,0 +1,42 @@
+// Counts of the calls to discovery, by how they ended.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace violetusher::core::membership {
+
+/// How a call to discovery ended.
+enum class CallOutcome : std::uint8_t {
+  kAnswered,  ///< with a list of which every entry is usable
+  kUnusable,  ///< with something else
+  kFailed,    ///< refused, reset, ended within the answer, or never begun
+  kGivenUp,   ///< ended by the router, with no answer
+  kCount,
+};
+
+/// The name of an outcome in logs and metrics.
+constexpr const char* name_of(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kAnswered:
+      return "answered";
+    case CallOutcome::kUnusable:
+      return "unusable";
+    case CallOutcome::kFailed:
+      return "failed";
+    case CallOutcome::kGivenUp:
+      return "given-up";
+    case CallOutcome::kCount:
+      break;
+  }
+  return "unknown";
+}
+
+/// Calls since the start of the process.
+struct CallCounts {
+  std::uint64_t made = 0;
+  std::array<std::uint64_t, static_cast<std::size_t>(CallOutcome::kCount)> ended{};
+};
+
+}  // namespace violetusher::core::membership
--- a/src/core/membership/watch_scheduler.cpp
+++ b/src/core/membership/watch_scheduler.cpp
@@ -46,6 +46,30 @@
   return *x < *y ? -1 : *x > *y;
 }
 
+const char* name_of(CallReason reason) {
+  switch (reason) {
+    case CallReason::kStart:
+      return "start";
+    case CallReason::kContinuation:
+      return "continuation";
+    case CallReason::kRenewal:
+      return "renewal";
+    case CallReason::kUnanswered:
+      return "unanswered";
+    case CallReason::kRetry:
+      return "retry";
+    case CallReason::kOverdue:
+      return "overdue";
+    case CallReason::kOtherFailed:
+      return "other-failed";
+    case CallReason::kWholeList:
+      return "whole-list";
+    case CallReason::kAddressChange:
+      return "address-change";
+  }
+  return "unknown";
+}
+
 WatchScheduler::WatchScheduler(Port& port, const WatchTiming& timing, const std::string& version,
                                std::uint64_t seed)
     : port_(port), timing_(timing), version_(version), watch_version_(version), rng_(seed) {}
@@ -56,7 +80,7 @@
   return from + static_cast<Micros>(fraction * static_cast<double>(to - from));
 }
 
-void WatchScheduler::start_call(Place place, Micros now, Micros wait) {
+void WatchScheduler::start_call(Place place, Micros now, Micros wait, CallReason reason) {
   Call& call = calls_[place];
   if (watch_version_.empty() || place == kFetch) wait = 0;
   // Jitter the wait as well, so that the calls after silent watches do not coincide either.
@@ -77,7 +101,7 @@
     call.renew_at = now + kSecondCallDelay;
   call.lists_applied = lists_applied_;
   ++calls_made_;
-  port_.start(place, place == kFetch ? std::string() : watch_version_, wait);
+  port_.start(place, place == kFetch ? std::string() : watch_version_, wait, reason);
 }
 
 void WatchScheduler::cancel(Place place) {
@@ -87,7 +111,7 @@
 }
 
 /// Starts another call of the watch beside those in flight.
-void WatchScheduler::start_watch_call(Micros now, Micros wait) {
+void WatchScheduler::start_watch_call(Micros now, Micros wait, CallReason reason) {
   retry_at_ = 0;
   auto is_better = [&](int a, int b) {
     return calls_[a].in_flight != calls_[b].in_flight
@@ -98,7 +122,7 @@
   for (Place place : {kWatch1, kWatch2})
     if (is_better(place, newest_)) newest_ = place;
   cancel(newest_);
-  start_call(newest_, now, wait);
+  start_call(newest_, now, wait, reason);
 }
 
 void WatchScheduler::fetch(Micros now) {
@@ -109,7 +133,7 @@
 void WatchScheduler::request_full_list(Micros now) {
   fetch_at_ = 0;
   cancel(kFetch);
-  start_call(kFetch, now, 0);
+  start_call(kFetch, now, 0, CallReason::kWholeList);
 }
 
 void WatchScheduler::change_address(Micros now) {
@@ -117,7 +141,7 @@
   watch_version_.clear();
   address_changed_ = true;
   older_lists_ = failures_ = 0;
-  watch(now);
+  watch(now, CallReason::kAddressChange);
 }
 
 void WatchScheduler::stop() {
@@ -149,7 +173,7 @@
   } else if (calls_[newest_].in_flight) {
     // Whatever ended an older call may have silenced the newest one too, and what that one misses
     // counts as notified long before it is renewed.
-    if (calls_[newest_].wait > kImmediateWait) watch(now);
+    if (calls_[newest_].wait > kImmediateWait) watch(now, CallReason::kOtherFailed);
   } else if (!has_watch()) {
     retry_at_ = 0;
     port_.on_watch_lost();
@@ -216,7 +240,7 @@
   // The next call follows at once: discovery treats a watch with gaps as a new one.
   newest_ = place;
   retry_at_ = idle ? now + kUnheldWatchInterval : 0;
-  if (!idle) start_call(place, now, timing_.wait);
+  if (!idle) start_call(place, now, timing_.wait, CallReason::kContinuation);
   return decision;
 }
 
@@ -227,7 +251,8 @@
     if (call.wait > kImmediateWait && !call.overdue && !timing_.always_retries) {
       call.overdue = true;
       call.deadline = now + kOverdueGrace;
-      if (!calls_[newest_].in_flight || calls_[newest_].wait > kImmediateWait) watch(now);
+      if (!calls_[newest_].in_flight || calls_[newest_].wait > kImmediateWait)
+        watch(now, CallReason::kOverdue);
       continue;
     }
     cancel(place);
@@ -236,13 +261,13 @@
   if (calls_[newest_].in_flight && calls_[newest_].renew_at > 0 &&
       now >= calls_[newest_].renew_at) {
     calls_[newest_].renew_at = 0;
-    start_watch_call(now, timing_.wait);
+    start_watch_call(now, timing_.wait, CallReason::kRenewal);
   }
   if (retry_at_ > 0 && now >= retry_at_) {
     retry_at_ = 0;
     bool silence = std::any_of(calls_.begin(), calls_.end(),
                                [](const Call& call) { return call.in_flight && call.overdue; });
-    start_call(newest_, now, silence ? kImmediateWait : timing_.wait);
+    start_call(newest_, now, silence ? kImmediateWait : timing_.wait, CallReason::kRetry);
   }
   if (fetch_at_ > 0 && now >= fetch_at_) request_full_list(now);
 }
--- a/src/core/membership/watch_scheduler.hpp
+++ b/src/core/membership/watch_scheduler.hpp
@@ -31,6 +31,21 @@
   bool whole = false;  ///< the full list, not the changes since a version
 };
 
+/// Why a call to discovery is made.
+enum class CallReason {
+  kStart,          ///< the first call of the process, or of a watch that is begun anew
+  kContinuation,   ///< the call before it was answered
+  kRenewal,        ///< the watch is old, and may have fallen silent
+  kUnanswered,     ///< the call before it may be silent
+  kRetry,          ///< the call before it failed
+  kOverdue,        ///< a watch has no response although its wait is over
+  kOtherFailed,    ///< another call in flight failed: this one shows what both may have missed
+  kWholeList,      ///< the whole list is wanted beside the watch
+  kAddressChange,  ///< discovery has moved
+};
+/// The name of a reason in logs.
+const char* name_of(CallReason reason);
+
 /// What the router does with the list of a response.
 enum class ListDecision {
   kIgnore,
@@ -53,7 +68,7 @@
     virtual ~Port() = default;
     /// Requests the changes since `version`, or the full list if it is empty; discovery may hold
     /// the call for `wait`.
-    virtual void start(Place place, const std::string& version, Micros wait) = 0;
+    virtual void start(Place place, const std::string& version, Micros wait, CallReason reason) = 0;
     /// Cancels the call of the slot.
     virtual void cancel(Place place) = 0;
     /// No watch is in flight and none will be started until watch(). Called last.
@@ -72,7 +87,9 @@
   }
   /// Starts a watch. Its first call returns at once, which shows that discovery responds; then the
   /// watches in flight are cancelled.
-  void watch(Micros now) { start_watch_call(now, kImmediateWait); }
+  void watch(Micros now, CallReason reason = CallReason::kStart) {
+    start_watch_call(now, kImmediateWait, reason);
+  }
   /// Requests the full list beside the watch, with a bounded number of tries.
   void fetch(Micros now);
   /// Discovery moved to another address: starts there with the full list. Versions of the two
@@ -105,8 +122,8 @@
     std::uint64_t lists_applied = 0;                           // lists applied before it started
   };
   Micros random_between(Micros from, Micros to);
-  void start_call(Place place, Micros now, Micros wait);
-  void start_watch_call(Micros now, Micros wait);
+  void start_call(Place place, Micros now, Micros wait, CallReason reason);
+  void start_watch_call(Micros now, Micros wait, CallReason reason);
   bool has_watch() const {
     return calls_[0].in_flight || calls_[1].in_flight || calls_[2].in_flight;
   }
--- a/src/core/ops/metrics.cpp
+++ b/src/core/ops/metrics.cpp
@@ -29,6 +29,13 @@
   all["targets"] = now.targets;
   all["targets_disabled"] = now.targets_disabled;
   all["list_age_ms"] = now.list_age_ms;
+  all["list_version"] = now.list_version;
+  if (now.discovery_calls) {
+    auto& to = all["discovery_calls"] = nlohmann::ordered_json::object();
+    to["made"] = now.discovery_calls->made;
+    for (std::size_t k = 0; k < now.discovery_calls->ended.size(); ++k)
+      to[name_of(static_cast<membership::CallOutcome>(k))] = now.discovery_calls->ended[k];
+  }
   all["client_buffer_bytes"] = now.client_buffer_bytes;
   all["client_buffer_peak_bytes"] = now.client_buffer_peak_bytes;
   all["server_buffer_bytes"] = now.server_buffer_bytes;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -80,14 +80,57 @@
   watch();
 }
 
-void Discovery::start(Place place, const std::string& version, Micros wait) {
+void Discovery::start(Place place, const std::string& version, Micros wait,
+                      core::membership::CallReason reason) {
+  calls_[place] = {++counts_.made, reason, io_.now()};
   std::string path = kHostsPath;
   if (!version.empty())
     path += "?index=" + escaped(version) + "&wait=" + std::to_string(wait / kMillisecond);
   requests_[place]->start(address_, path, wait + kHttpTimeoutMargin);
 }
 
-void Discovery::cancel(Place place) { requests_[place]->stop(); }
+void Discovery::cancel(Place place) {
+  requests_[place]->stop();
+  record_end(place, CallOutcome::kGivenUp, {});
+}
+
+/// Counts the end of a call and logs it. Calls to an agent are many, and logged if they fail.
+void Discovery::record_end(Place place, CallOutcome outcome, const std::string& version) {
+  const CallInFlight& call = calls_[place];
+  ++counts_.ended[static_cast<std::size_t>(outcome)];
+  if (always_retries_ && outcome == CallOutcome::kAnswered) return;
+  Micros duration = io_.now() - call.started;
+  std::string reason = name_of(call.reason), how = name_of(outcome);
+  std::string text = "discovery: call " + std::to_string(call.number) + " (" + reason + ") " + how +
+                     " after " + std::to_string(duration / kMillisecond) + " ms";
+  if (outcome == CallOutcome::kAnswered) text += ", version " + version;
+  log_.write(io_.now(), Log::Level::kInfo, "discovery-call", text,
+             {{"call", static_cast<std::int64_t>(call.number)},
+              {"reason", std::string_view(reason)},
+              {"outcome", std::string_view(how)},
+              {"duration_ms", static_cast<std::int64_t>(duration / kMillisecond)},
+              {"list", std::string_view(version)}});
+}
+
+/// Logs a list that is put to use and names servers, and what it takes out of use.
+void Discovery::log_list(const HostList& list, Micros previous_age) {
+  if (list.hosts.empty()) return;
+  std::string out;
+  for (const Host& host : list.hosts)
+    if (host.server.health != violetusher::Health::Ready)
+      out += (out.empty() ? "" : " ") + host.server.id;
+  const char* kind = list.whole ? "whole" : "changes";
+  std::string text = "discovery: list " + list.version + " (" + kind + ", " +
+                     std::to_string(list.hosts.size()) + " entries) in use; the one before was " +
+                     "confirmed " + std::to_string(previous_age / kMillisecond) + " ms ago";
+  if (!out.empty()) text += "; draining or removed: " + out;
+  log_.write(io_.now(), Log::Level::kInfo, "list-in-use", text,
+             {{"list", std::string_view(list.version)},
+              {"kind", std::string_view(kind)},
+              {"entries", static_cast<std::int64_t>(list.hosts.size())},
+              {"previous_age_ms", static_cast<std::int64_t>(previous_age / kMillisecond)},
+              {"out", std::string_view(out)}});
+}
 
 void Discovery::on_watch_lost() { handler_.on_hosts_failed(); }
 
@@ -137,7 +180,13 @@
     answer.version = list->version;
     answer.whole = list->whole;
   }
+  record_end(place,
+             answer.sound ? CallOutcome::kAnswered
+             : http       ? CallOutcome::kUnusable
+                          : CallOutcome::kFailed,
+             answer.version);
   std::string previous_version = scheduler_.version();
+  Micros previous_age = age();
   ListDecision decision = scheduler_.on_response(place, io_.now(), answer);
   if (answer.sound && stale_logged_) {
     stale_logged_ = false;
@@ -150,6 +199,7 @@
   // reported.
   bool changed =
       !always_retries_ || list->whole || !list->hosts.empty() || list->version != previous_version;
+  if (list->version != previous_version) log_list(*list, previous_age);
   if (changed) handler_.on_hosts(std::move(*list), decision == ListDecision::kApplyUnconfirmed);
 }
 
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "config.hpp"
+#include "core/membership/call_counts.hpp"
 #include "core/membership/watch_scheduler.hpp"
 #include "io.hpp"
 #include "log.hpp"
@@ -46,20 +47,30 @@
 
   /// Time since the last answer that confirmed the list, or since the start.
   Micros age() const { return io_.now() - scheduler_.last_response_at(); }
-  /// Calls made since the start.
-  std::uint64_t calls() const { return scheduler_.calls_made(); }
+  /// Counts of calls since the start.
+  const core::membership::CallCounts& counts() const { return counts_; }
 
  private:
   using Place = core::membership::WatchScheduler::Place;
+  using CallOutcome = core::membership::CallOutcome;
+  /// A call in flight, for the log.
+  struct CallInFlight {
+    std::uint64_t number = 0;
+    core::membership::CallReason reason{};
+    Micros started = 0;
+  };
 
   // core::membership::WatchScheduler::Port
-  void start(Place place, const std::string& version, Micros wait) override;
+  void start(Place place, const std::string& version, Micros wait,
+             core::membership::CallReason reason) override;
   void cancel(Place place) override;
   void on_watch_lost() override;
 
   void on_answer(Place place, const std::optional<HttpGet::Answer>& http);
   std::optional<HostList> parse_list(const std::optional<HttpGet::Answer>& answer);
   void log_fault(const std::string& text);
+  void record_end(Place place, CallOutcome outcome, const std::string& version);
+  void log_list(const HostList& list, Micros previous_age);
   void schedule();
 
   Io& io_;
@@ -71,6 +82,8 @@
   bool always_retries_;
   core::membership::WatchScheduler scheduler_;
   std::array<std::unique_ptr<HttpGet>, core::membership::WatchScheduler::kPlaces> requests_;
+  std::array<CallInFlight, core::membership::WatchScheduler::kPlaces> calls_;
+  core::membership::CallCounts counts_;
   std::unique_ptr<Alarm> alarm_;
 };
 
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -291,6 +291,8 @@
   now.dispatches = servers_.written();
   now.targets = operations_.hosts().size();
   now.list_age_ms = discovery_.age() / kMillisecond;
+  now.list_version = list_version();
+  now.discovery_calls = &discovery_.counts();
   now.client_buffer_bytes = clients_.buffered();
   now.client_buffer_peak_bytes = clients_.peak_buffered();
   now.server_buffer_bytes = servers_.buffered();
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -82,7 +82,7 @@
   /// Age of that list: the time since a response of discovery last confirmed it.
   Micros list_age() const { return discovery_.age(); }
   /// Calls to discovery since the start.
-  std::uint64_t discovery_calls() const { return discovery_.calls(); }
+  std::uint64_t discovery_calls() const { return discovery_.counts().made; }
   std::size_t pools() const { return pools_.modules(); }
   std::size_t open_requests() const { return core_.table().size(); }
   std::size_t max_open_requests() const { return core_.table().max_requests(); }
--- a/tests/core/membership/watch_scheduler_test.cpp
+++ b/tests/core/membership/watch_scheduler_test.cpp
@@ -31,9 +31,11 @@
     WatchScheduler::Place place;
     std::string version;
     Micros wait;
+    CallReason reason;
   };
-  void start(WatchScheduler::Place place, const std::string& version, Micros wait) override {
-    calls_made.push_back({now, place, version, wait});
+  void start(WatchScheduler::Place place, const std::string& version, Micros wait,
+             CallReason reason) override {
+    calls_made.push_back({now, place, version, wait, reason});
     out[place] = calls_made.back();
   }
   void cancel(WatchScheduler::Place place) override {
@@ -432,7 +434,7 @@
     calls.set_started(now);
     apply(now, module.start(now));
   }
-  void start(WatchScheduler::Place place, const std::string&, Micros wait) override {
+  void start(WatchScheduler::Place place, const std::string&, Micros wait, CallReason) override {
     ++calls_made;
     if (queued && wait <= kSecond) queued(place, calls_made);
     serial[place] = calls_made;
