Calls to discovery are timed from the change: early, and beside calls that may be silent

What callers saw: requests at a draining server up to several seconds after the grace, once a call to discovery had failed. Cause: every limit was counted from our own call, while a change counts as told 6 s after discovery had it. The first call of a process went out up to 0.4 AskWithinUs after the start; a silent call was waited for alone (3.5 s), then the module paused for up to 1.5 s; each failure took its time from the same 6 s.

Now the scheduler owns all retries (the module's pause goes), calls at the start, makes another call beside one that is not answered for a second or more (more in larger tiers, where it is most likely queued; it keeps its place), and looks again early after trouble. WatchScheduler::start, follow_up; the module's Watch is no longer needed for that.

--- a/src/core/membership/watch_scheduler.cpp
+++ b/src/core/membership/watch_scheduler.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <utility>
 
+#include "core/mutants.hpp"
+
 namespace violetusher::core::membership {
 namespace {
 
@@ -74,6 +76,36 @@
                                std::uint64_t seed)
     : port_(port), timing_(timing), version_(version), watch_version_(version), rng_(seed) {}
 
+void WatchScheduler::start(Micros now) {
+  if (timing_.first_call_spread == 0) return watch(now);
+  first_call_at_ = now + random_between(0, timing_.first_call_spread);
+}
+
+bool WatchScheduler::has_call() const {
+  return std::any_of(calls_.begin(), calls_.begin() + kWatchPlaces,
+                     [](const Call& call) { return call.in_flight; });
+}
+
+/// Whether a watch is in flight whose wait is not over.
+bool WatchScheduler::has_waiting_watch() const {
+  return std::any_of(calls_.begin(), calls_.begin() + kWatchPlaces, [](const Call& call) {
+    return call.in_flight && call.is_watch() && !call.overdue;
+  });
+}
+
+bool WatchScheduler::has_free_place() const {
+  return std::any_of(calls_.begin(), calls_.begin() + kWatchPlaces,
+                     [](const Call& call) { return !call.in_flight; });
+}
+
+/// When the first of the calls in flight times out.
+Micros WatchScheduler::next_timeout() const {
+  Micros first = calls_[kWatch0].deadline;
+  for (int place = kWatch1; place < kWatchPlaces; ++place)
+    first = std::min(first, calls_[place].deadline);
+  return first;
+}
+
 Micros WatchScheduler::random_between(Micros from, Micros to) {
   rng_ = rng_ * 6364136223846793005ULL + 1442695040888963407ULL;  // Knuth's MMIX generator
   double fraction = static_cast<double>(rng_ >> 40) / static_cast<double>(1 << 24);
@@ -88,17 +120,23 @@
     wait = random_between(wait - (timing_.max_renewal_age - timing_.min_renewal_age), wait);
   call.in_flight = true;
   call.overdue = false;
+  call.after_trouble = reason != CallReason::kStart && reason != CallReason::kContinuation &&
+                       reason != CallReason::kRenewal && reason != CallReason::kAddressChange;
   call.started = now;
   call.wait = wait;
   call.deadline = now + wait +
-                  (place == kFetch         ? kFetchTimeout
-                   : wait > kImmediateWait ? timing_.response_timeout
-                                           : timing_.immediate_response_timeout);
-  call.renew_at = 0;
-  if (wait > kImmediateWait && timing_.max_renewal_age > 0)
-    call.renew_at = now + random_between(timing_.min_renewal_age, timing_.max_renewal_age);
-  if (watch_version_.empty() && place != kFetch && !timing_.always_retries)
-    call.renew_at = now + kSecondCallDelay;
+                  (place == kFetch   ? kFetchTimeout
+                   : call.is_watch() ? timing_.response_timeout
+                                     : timing_.immediate_response_timeout);
+  call.follow_up_at = 0;
+  if (call.is_watch() && timing_.max_renewal_age > 0)
+    call.follow_up_at = now + random_between(timing_.min_renewal_age, timing_.max_renewal_age);
+  if (!call.is_watch() && place != kFetch && timing_.unanswered_delay > 0 &&
+      !mutant(Mutant::kNothingBesideSilentCall)) {
+    Micros delay = timing_.unanswered_delay;
+    if (watch_version_.empty()) delay = std::min(delay, kSecondCallDelay);
+    call.follow_up_at = now + delay;
+  }
   call.lists_applied = lists_applied_;
   ++calls_made_;
   port_.start(place, place == kFetch ? std::string() : watch_version_, wait, reason);
@@ -119,8 +157,8 @@
                : calls_[a].in_flight && calls_[a].started < calls_[b].started;
   };
   newest_ = kWatch0;
-  for (Place place : {kWatch1, kWatch2})
-    if (is_better(place, newest_)) newest_ = place;
+  for (int place = kWatch1; place < kWatchPlaces; ++place)
+    if (is_better(place, newest_)) newest_ = static_cast<Place>(place);
   cancel(newest_);
   start_call(newest_, now, wait, reason);
 }
@@ -146,7 +184,7 @@
 
 void WatchScheduler::stop() {
   for (int place = 0; place < kPlaces; ++place) cancel(static_cast<Place>(place));
-  retry_at_ = fetch_at_ = 0;
+  retry_at_ = fetch_at_ = first_call_at_ = 0;
 }
 
 Micros WatchScheduler::retry_delay(int failures) {
@@ -157,8 +195,8 @@
 
 void WatchScheduler::schedule_retry(Micros now) {
   retry_at_ = now + retry_delay(failures_++);
-  if (timing_.always_retries && failures_ % kFailuresPerFetch == 0 && !calls_[kFetch].in_flight)
-    fetch(now);
+  retry_reason_ = CallReason::kRetry;
+  if (timing_.pushed && failures_ % kFailuresPerFetch == 0 && !calls_[kFetch].in_flight) fetch(now);
 }
 
 /// Handles a call that failed or brought nothing usable.
@@ -168,15 +206,12 @@
     if (++fetch_failures_ < kMaxFetchTries) fetch_at_ = now + retry_delay(fetch_failures_);
     return;
   }
-  if (place == newest_ && (timing_.always_retries || has_watch())) {
-    schedule_retry(now);
-  } else if (calls_[newest_].in_flight) {
+  if (place == newest_ || !has_call()) {
+    if (retry_at_ == 0) schedule_retry(now);
+  } else if (calls_[newest_].in_flight && calls_[newest_].is_watch()) {
     // Whatever ended an older call may have silenced the newest one too, and what that one misses
     // counts as notified long before it is renewed.
-    if (calls_[newest_].wait > kImmediateWait) watch(now, CallReason::kOtherFailed);
-  } else if (!has_watch()) {
-    retry_at_ = 0;
-    port_.on_watch_lost();
+    watch(now, CallReason::kOtherFailed);
   }
 }
 
@@ -205,6 +240,17 @@
   return ListDecision::kApplyUnconfirmed;
 }
 
+/// Cancels the watches that were started before `call`, which has been answered: they may be
+/// silent, and have missed nothing that its response did not bring. Other calls run to their own
+/// end, as a cancelled call may still be queued and starts the notification deadline.
+void WatchScheduler::cancel_watches_before(const Call& call) {
+  for (int place = 0; place < kWatchPlaces; ++place) {
+    const Call& other = calls_[place];
+    if (other.in_flight && other.is_watch() && other.started < call.started)
+      cancel(static_cast<Place>(place));
+  }
+}
+
 ListDecision WatchScheduler::on_response(Place place, Micros now, const ListResponse& answer) {
   Call& call = calls_[place];
   if (!std::exchange(call.in_flight, false)) return ListDecision::kIgnore;
@@ -212,9 +258,8 @@
   ListDecision decision = usable ? evaluate(call, now, answer) : ListDecision::kIgnore;
   // A discovery that responds at once without news does not hold watches; calling it again at once
   // would be a busy loop.
-  Micros wait = call.wait;
   bool idle = answer.version == version_ && call.lists_applied == lists_applied_ &&
-              wait > kImmediateWait && now - call.started < wait / 2;
+              call.is_watch() && now - call.started < call.wait / 2;
   if (decision != ListDecision::kIgnore) ++lists_applied_;
   // A list with unusable entries does not set the version: it is requested again.
   if (decision != ListDecision::kIgnore && answer.sound) version_ = watch_version_ = answer.version;
@@ -226,48 +271,68 @@
     return decision;
   }
   last_response_at_ = now;
+  confirmed_ = true;
   if (place == kFetch) return decision;
   failures_ = 0;
-  bool immediate = call.wait <= kImmediateWait;
-  // Calls started before this one may be silent, and have missed nothing that this response did not
-  // bring.
-  if (immediate)
-    for (Place other : {kWatch0, kWatch1, kWatch2})
-      if (calls_[other].in_flight && calls_[other].started < call.started) cancel(other);
+  bool immediate = !call.is_watch();
+  bool after_trouble = immediate && call.after_trouble;
+  if (immediate) cancel_watches_before(call);
   bool later = place != newest_ && calls_[newest_].in_flight;
-  if (later && !(immediate && calls_[newest_].wait <= kImmediateWait))
+  if (later && !(immediate && !calls_[newest_].is_watch()))
     return decision;  // the newest call continues the watch
   // The next call follows at once: discovery treats a watch with gaps as a new one.
   newest_ = place;
   retry_at_ = idle ? now + kUnheldWatchInterval : 0;
+  retry_reason_ = CallReason::kContinuation;
   if (!idle) start_call(place, now, timing_.wait, CallReason::kContinuation);
+  if (after_trouble && timing_.early_renewal_age > 0)
+    calls_[place].follow_up_at =
+        now + random_between(timing_.early_renewal_age * 3 / 4, timing_.early_renewal_age);
   return decision;
 }
 
-void WatchScheduler::run_due(Micros now) {
-  for (Place place : {kWatch0, kWatch1, kWatch2, kFetch}) {
-    Call& call = calls_[place];
-    if (!call.in_flight || now < call.deadline) continue;
-    if (call.wait > kImmediateWait && !call.overdue && !timing_.always_retries) {
-      call.overdue = true;
-      call.deadline = now + kOverdueGrace;
-      if (!calls_[newest_].in_flight || calls_[newest_].wait > kImmediateWait)
-        watch(now, CallReason::kOverdue);
-      continue;
-    }
+/// Makes another call beside the newest one, which is due for renewal or may be silent.
+void WatchScheduler::follow_up(Micros now) {
+  Call& newest = calls_[newest_];
+  if (!newest.in_flight || newest.follow_up_at == 0 || now < newest.follow_up_at) return;
+  if (!has_free_place()) {
+    newest.follow_up_at = next_timeout();
+    return;
+  }
+  newest.follow_up_at = 0;
+  if (newest.is_watch())
+    start_watch_call(now, timing_.wait, CallReason::kRenewal);
+  else
+    start_watch_call(now, kImmediateWait, CallReason::kUnanswered);
+}
+
+/// Ends a call whose time is over, or looks whether the watch has missed something.
+void WatchScheduler::handle_timeout(Place place, Micros now) {
+  Call& call = calls_[place];
+  if (!call.is_watch() || call.overdue || timing_.pushed) {
     cancel(place);
     on_call_failed(place, now);
+    return;
   }
-  if (calls_[newest_].in_flight && calls_[newest_].renew_at > 0 &&
-      now >= calls_[newest_].renew_at) {
-    calls_[newest_].renew_at = 0;
-    start_watch_call(now, timing_.wait, CallReason::kRenewal);
+  call.overdue = true;
+  call.deadline = now + kOverdueGrace;
+  if (!calls_[newest_].in_flight || calls_[newest_].is_watch()) watch(now, CallReason::kOverdue);
+}
+
+void WatchScheduler::run_due(Micros now) {
+  if (first_call_at_ > 0 && now >= first_call_at_) {
+    first_call_at_ = 0;
+    watch(now);
   }
+  for (int place = 0; place < kPlaces; ++place)
+    if (calls_[place].in_flight && now >= calls_[place].deadline)
+      handle_timeout(static_cast<Place>(place), now);
+  follow_up(now);
   if (retry_at_ > 0 && now >= retry_at_) {
     retry_at_ = 0;
-    bool silence = std::any_of(calls_.begin(), calls_.end(),
-                               [](const Call& call) { return call.in_flight && call.overdue; });
-    start_call(newest_, now, silence ? kImmediateWait : timing_.wait, CallReason::kRetry);
+    // After a failure, and without another watch that waits, what was missed is fetched at once.
+    bool immediate = !timing_.pushed && retry_reason_ == CallReason::kRetry && !has_waiting_watch();
+    start_call(newest_, now, immediate ? kImmediateWait : timing_.wait, retry_reason_);
   }
   if (fetch_at_ > 0 && now >= fetch_at_) request_full_list(now);
 }
@@ -279,7 +344,8 @@
   };
   for (const Call& call : calls_)
     if (call.in_flight) at(call.deadline);
-  if (calls_[newest_].in_flight) at(calls_[newest_].renew_at);
+  if (calls_[newest_].in_flight) at(calls_[newest_].follow_up_at);
+  at(first_call_at_);
   at(retry_at_);
   at(fetch_at_);
   return first;
--- a/src/core/membership/watch_scheduler.hpp
+++ b/src/core/membership/watch_scheduler.hpp
@@ -58,9 +58,10 @@
 /// The calls to discovery of one router. Its owner reports responses and calls run_due().
 class WatchScheduler {
  public:
-  /// Slots of calls: three of a watch (one that ends, one that waits, one that fetches what they
-  /// missed), and one of single fetches.
-  enum Place { kWatch0, kWatch1, kWatch2, kFetch, kPlaces };
+  /// Slots of calls: those of a watch (one that ends, one that waits, and those that fetch what
+  /// they missed, of which several may be silent), and one of single fetches.
+  enum Place { kWatch0, kWatch1, kWatch2, kWatch3, kWatch4, kFetch, kPlaces };
+  static constexpr int kWatchPlaces = kFetch;
 
   /// Sends and cancels calls for the scheduler.
   class Port {
@@ -71,8 +72,6 @@
     virtual void start(Place place, const std::string& version, Micros wait, CallReason reason) = 0;
     /// Cancels the call of the slot.
     virtual void cancel(Place place) = 0;
-    /// No watch is in flight and none will be started until watch(). Called last.
-    virtual void on_watch_lost() = 0;
   };
 
   /// `version` is that of the list that the router starts with; `seed` is of the jitter.
@@ -85,6 +84,8 @@
     timing_ = timing;
     return true;
   }
+  /// Plans the first call. From then on there is always a call in flight or planned.
+  void start(Micros now);
   /// Starts a watch. Its first call returns at once, which shows that discovery responds; then the
   /// watches in flight are cancelled.
   void watch(Micros now, CallReason reason = CallReason::kStart) {
@@ -104,6 +105,10 @@
   /// The time of the next run_due(); nothing if no call is in flight or planned.
   std::optional<Micros> next_due() const;
 
+  /// Whether a response has confirmed the list since the start.
+  bool confirmed() const { return confirmed_; }
+  /// Calls that failed since the last usable response.
+  int consecutive_failures() const { return failures_; }
   /// When a response last confirmed the list, or the start.
   Micros last_response_at() const { return last_response_at_; }
   void set_started(Micros now) { last_response_at_ = now; }
@@ -117,16 +122,23 @@
   static constexpr Micros kImmediateWait = 1000;
   struct Call {
     bool in_flight = false;
-    bool overdue = false;  // its wait is over without a response
-    Micros started = 0, wait = 0, deadline = 0, renew_at = 0;  // renew_at 0: never
-    std::uint64_t lists_applied = 0;                           // lists applied before it started
+    bool overdue = false;        // its wait is over without a response
+    bool after_trouble = false;  // made because another call failed or may be silent
+    Micros started = 0, wait = 0, deadline = 0;
+    Micros follow_up_at = 0;          // when another is made beside it; 0: never
+    std::uint64_t lists_applied = 0;  // lists applied before it started
+    bool is_watch() const { return wait > kImmediateWait; }
   };
   Micros random_between(Micros from, Micros to);
   void start_call(Place place, Micros now, Micros wait, CallReason reason);
   void start_watch_call(Micros now, Micros wait, CallReason reason);
-  bool has_watch() const {
-    return calls_[0].in_flight || calls_[1].in_flight || calls_[2].in_flight;
-  }
+  bool has_call() const;
+  bool has_waiting_watch() const;
+  bool has_free_place() const;
+  Micros next_timeout() const;
+  void follow_up(Micros now);
+  void handle_timeout(Place place, Micros now);
+  void cancel_watches_before(const Call& call);
   void request_full_list(Micros now);
   void cancel(Place place);
   void on_call_failed(Place place, Micros now);
@@ -139,14 +151,17 @@
   std::string version_;        // version in use, whichever discovery it came from
   std::string watch_version_;  // version that a watch names; empty: request the full list
   std::array<Call, kPlaces> calls_;
-  Place newest_ = kWatch0;  // the newest watch slot
-  Micros retry_at_ = 0;     // when the newest watch is restarted; 0: not planned
-  Micros fetch_at_ = 0;     // when the full list is requested; 0: not planned
+  Place newest_ = kWatch0;    // the newest watch slot
+  Micros first_call_at_ = 0;  // when the first call is made; 0: it was
+  Micros retry_at_ = 0;       // when the newest call is made again; 0: not planned
+  CallReason retry_reason_ = CallReason::kRetry;
+  Micros fetch_at_ = 0;  // when the full list is requested; 0: not planned
   Micros last_response_at_ = 0;
   int failures_ = 0;              // consecutive failures of watches
   int fetch_failures_ = 0;        // failures of the current fetch of the full list
   int older_lists_ = 0;           // consecutive full lists that are older than the one in use
   bool address_changed_ = false;  // no list of the new address has been applied yet
+  bool confirmed_ = false;
   std::uint64_t lists_applied_ = 0, calls_made_ = 0, rng_;
 };
 
--- a/src/core/membership/watch_timing.cpp
+++ b/src/core/membership/watch_timing.cpp
@@ -6,27 +6,50 @@
 namespace {
 
 constexpr Micros kSecond = 1'000'000, kMillisecond = 1000;
+// The time for which discovery queues a call before it fails it.
+constexpr Micros kMaxQueueTime = 3 * kSecond;
+// Calls of a fleet are spread by its size, up to this many routers.
+constexpr int kMaxScaledRouters = 50;
+// So many routers may call discovery at the same moment.
+constexpr Micros kUnspreadRouters = 4;
+constexpr Micros kFirstCallSpreadPerRouter = 90 * kMillisecond;
+constexpr Micros kRetryDelayPerRouter = 30 * kMillisecond;
+constexpr Micros kMinRetryDelay = 50 * kMillisecond;
+constexpr Micros kUnansweredDelayPerRouter = 150 * kMillisecond;
+// From this size on a start of many routers at once fills the queue of discovery.
+constexpr int kLargeFleet = 30;
 
 }  // namespace
 
-WatchTiming polled_timing() {
+WatchTiming polled_timing(int routers, Micros ask_within) {
+  Micros fleet = std::clamp(routers, 1, kMaxScaledRouters);
   WatchTiming t;
   t.wait = 30 * kSecond;
   // Discovery answers a watch whose wait is over at once, except for calls queued before it. What
   // the watch missed counts as notified 2 s later, and an immediate call has to fit in between.
   t.response_timeout = kSecond;
-  // Longer than the 3 s for which discovery queues a call before it fails it. A call that is
-  // cancelled in the queue loses its place but is still processed and delays others: with a timeout
-  // of 2 s, 32 routers had their first list after 16 to 20 s where 8 s were enough.
-  t.immediate_response_timeout = 3 * kSecond + kSecond / 2;
+  // Longer than the 3 s for which discovery queues a call before it fails it: a call that is
+  // cancelled in the queue loses its place but is still processed and delays others.
+  t.immediate_response_timeout = kMaxQueueTime + kSecond / 2;
   // About as many calls as consecutive watches of 18 s make. What a silent watch misses counts as
   // notified at 32 s, which leaves 12 s for the call that makes up for it to be queued and retried.
   t.min_renewal_age = 16 * kSecond;
   t.max_renewal_age = 20 * kSecond;
-  // The 6 s after a failure have to fit three more tries, or two that are queued: no exponential
-  // backoff. Failed calls cost discovery no work.
-  t.retry_delay = kSecond;
-  t.max_retry_delay = t.retry_delay;
+  if (routers < kLargeFleet) t.early_renewal_age = 4 * kSecond;
+  // In a large fleet an unanswered call is most likely queued, and a second one would double the
+  // queue. In a small one several silent calls in a row have to fit into the 6 s after a failure.
+  t.unanswered_delay =
+      std::clamp(fleet * kUnansweredDelayPerRouter, kSecond, kMaxQueueTime + 2 * kSecond / 5);
+  // Without a watch the router is held to its list for `ask_within` from its last call.
+  t.first_call_spread =
+      std::min(std::max<Micros>(fleet - kUnspreadRouters, 1) * kFirstCallSpreadPerRouter,
+               ask_within * 2 / 5);
+  // The 6 s after a failure have to fit three more tries, or two that are queued.
+  t.max_retry_delay = std::clamp(ask_within / 2, kMinRetryDelay, kSecond);
+  t.retry_delay = std::clamp(fleet * kRetryDelayPerRouter, kSecond / 5, kSecond);
+  t.retry_delay = std::min(t.retry_delay, t.max_retry_delay);
+  // Nine in ten restarted routers have to be ready within 10 s, and within 6 s on short days.
+  t.max_startup_wait = routers < kLargeFleet ? 4 * kSecond : 2 * kSecond;
   return t;
 }
 
@@ -40,7 +63,9 @@
   t.response_timeout = t.immediate_response_timeout = 3 * sixteenth;
   t.retry_delay = 2 * sixteenth;
   t.max_retry_delay = t.retry_delay;
-  t.always_retries = true;
+  // An agent answers at once, or is silent because discovery is down.
+  t.max_startup_wait = kSecond;
+  t.pushed = true;
   return t;
 }
 
--- a/src/core/membership/watch_timing.hpp
+++ b/src/core/membership/watch_timing.hpp
@@ -30,20 +30,31 @@
   /// A second watch is started beside one of this age, drawn evenly between the two values so that
   /// routers whose watches started together do not renew them together. 0: never.
   Micros min_renewal_age = 0, max_renewal_age = 0;
+  /// The same, once, for the watch that follows calls which failed or were given up: what it misses
+  /// if it falls silent too counts as notified 6 s later. 0: as any watch.
+  Micros early_renewal_age = 0;
+  /// A call that does not wait gets another beside it if it has no response after this: it may be
+  /// silent, and may as well be queued, so it is not cancelled. 0: never.
+  Micros unanswered_delay = 0;
+  /// The first call of a process is made within this time of its start, drawn evenly.
+  Micros first_call_spread = 0;
   /// Delay of the next call after a failure, times a jitter factor of 0.5 to 1.5; doubled with each
   /// consecutive failure up to max_retry_delay.
   Micros retry_delay = 0, max_retry_delay = 0;
-  /// True if failed watches are always retried here; otherwise the decision module says when to
-  /// watch again.
-  bool always_retries = false;
+  /// A starting router accepts clients without a confirmed list after this.
+  Micros max_startup_wait = 0;
+  /// Lists are pushed to an agent on the router's own machine.
+  bool pushed = false;
 
   bool operator==(const WatchTiming&) const = default;
 };
 
 /// For polled lists: discovery is one service for all routers and each call costs it work, so calls
 /// are few. `wait` is long, and a watch is renewed well before a change that it may have missed
-/// counts as notified.
-WatchTiming polled_timing();
+/// counts as notified. Calls after failures and beside calls that may be silent follow one another
+/// the more slowly, the more of the `routers` of the tier may call at the same time. `ask_within`:
+/// the longest time without a call that the settings allow to a router without a watch.
+WatchTiming polled_timing(int routers, Micros ask_within);
 
 /// For pushed lists: the address is an agent on the router's own machine, calls are cheap, and the
 /// agent's list counts as notified at once. Whatever happens to one call, the next is made within
--- a/src/core/mutants.hpp
+++ b/src/core/mutants.hpp
@@ -23,6 +23,8 @@
   kRequestSentAfterEnd,       ///< a request that is given up is sent on by the system
   kProgressByWrites,          ///< only a write that succeeds shows that a client reads
   kIdsForgotten,              ///< an id is forgotten with its request
+  kServeUnconfirmedList,      ///< clients are accepted before discovery has confirmed the list
+  kNothingBesideSilentCall,   ///< a call without a response is waited for alone
 };
 
 #ifdef VIOLETUSHER_MUTANTS
@@ -31,7 +33,8 @@
       "yes-before-durable",       "file-over-memory",    "evict-at-any-shortage",
       "reload-not-retried",       "clock-believed",      "pause-ends-answer",
       "deadline-ends-long-value", "timeout-ends-answer", "request-sent-after-end",
-      "progress-by-writes",       "ids-forgotten"};
+      "progress-by-writes",       "ids-forgotten",       "serve-unconfirmed",
+      "nothing-beside-silent"};
   static const char* planted = std::getenv("VIOLETUSHER_MUTANT");
   return planted && kNames[static_cast<int>(m)] == planted;
 }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -41,7 +41,7 @@
       handler_(handler),
       log_(log),
       address_(address),
-      always_retries_(timing.always_retries),
+      pushed_(timing.pushed),
       scheduler_(*this, timing, version, seed),
       alarm_(io.alarm([this] {
         scheduler_.run_due(io_.now());
@@ -55,11 +55,7 @@
 }
 
 void Discovery::start() {
-  if (always_retries_) watch();
-}
-
-void Discovery::watch() {
-  scheduler_.watch(io_.now());
+  scheduler_.start(io_.now());
   schedule();
 }
 
@@ -76,8 +72,9 @@
 
 void Discovery::use(const core::membership::WatchTiming& timing) {
   if (!scheduler_.set_timing(timing)) return;
-  always_retries_ = timing.always_retries;
-  watch();
+  pushed_ = timing.pushed;
+  scheduler_.watch(io_.now());
+  schedule();
 }
 
 void Discovery::start(Place place, const std::string& version, Micros wait,
@@ -94,11 +91,14 @@
   record_end(place, CallOutcome::kGivenUp, {});
 }
 
-/// Counts the end of a call and logs it. Calls to an agent are many, and logged if they fail.
+/// Counts the end of a call and logs it. Calls to an agent are many: the first of a row that is not
+/// answered is logged.
 void Discovery::record_end(Place place, CallOutcome outcome, const std::string& version) {
   const CallInFlight& call = calls_[place];
   ++counts_.ended[static_cast<std::size_t>(outcome)];
-  if (always_retries_ && outcome == CallOutcome::kAnswered) return;
+  bool repeated = outcome == CallOutcome::kAnswered || outcome == last_outcome_;
+  last_outcome_ = outcome;
+  if (pushed_ && repeated) return;
   Micros duration = io_.now() - call.started;
   std::string reason = name_of(call.reason), how = name_of(outcome);
   std::string text = "discovery: call " + std::to_string(call.number) + " (" + reason + ") " + how +
@@ -132,8 +132,6 @@
               {"out", std::string_view(out)}});
 }
 
-void Discovery::on_watch_lost() { handler_.on_hosts_failed(); }
-
 void Discovery::schedule() {
   if (age() > kStaleAfter && !stale_logged_) {
     stale_logged_ = true;
@@ -195,10 +193,9 @@
   }
   schedule();
   if (decision == ListDecision::kIgnore) return;  // `list` may be empty
-  // A watch that always retries is answered several times a second; an unchanged list is not
-  // reported.
+  // An agent is asked several times a second; an unchanged list is not reported.
   bool changed =
-      !always_retries_ || list->whole || !list->hosts.empty() || list->version != previous_version;
+      !pushed_ || list->whole || !list->hosts.empty() || list->version != previous_version;
   if (list->version != previous_version) log_list(*list, previous_age);
   if (changed) handler_.on_hosts(std::move(*list), decision == ListDecision::kApplyUnconfirmed);
 }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -24,18 +24,14 @@
     virtual ~Handler() = default;
     /// A list to apply. `unconfirmed`: discovery may be behind the list in use; see HostRegistry.
     virtual void on_hosts(HostList&& list, bool unconfirmed) = 0;
-    /// No watch is in progress, and none starts before the next watch().
-    virtual void on_hosts_failed() = 0;
   };
-  /// `version`: the version of the list that the router starts with. With timing that always
-  /// retries, the watch begins at start() and is restarted after failures without a further call of
-  /// watch(). No callback comes before start().
+  /// `version`: the version of the list that the router starts with. No callback comes before
+  /// start().
   Discovery(Io& io, const std::string& address, const std::string& version,
             const core::membership::WatchTiming& timing, std::uint64_t seed, Handler& handler,
             Log& log);
+  /// Begins to watch. From then on the watch is renewed, and restarted after failures.
   void start();
-  /// Starts a watch; one in progress is restarted.
-  void watch();
   /// Requests the full list in addition to the watch.
   void fetch();
   /// Switches to another discovery address: drops all calls to the old one and starts a watch
@@ -45,6 +41,10 @@
   /// Changes the timing of calls; restarts the watch if the timing differs.
   void use(const core::membership::WatchTiming& timing);
 
+  /// Whether an answer has confirmed the list since the start.
+  bool confirmed() const { return scheduler_.confirmed(); }
+  /// Calls that failed since the last usable answer.
+  int consecutive_failures() const { return scheduler_.consecutive_failures(); }
   /// Time since the last answer that confirmed the list, or since the start.
   Micros age() const { return io_.now() - scheduler_.last_response_at(); }
   /// Counts of calls since the start.
@@ -64,7 +64,6 @@
   void start(Place place, const std::string& version, Micros wait,
              core::membership::CallReason reason) override;
   void cancel(Place place) override;
-  void on_watch_lost() override;
 
   void on_answer(Place place, const std::optional<HttpGet::Answer>& http);
   std::optional<HostList> parse_list(const std::optional<HttpGet::Answer>& answer);
@@ -79,11 +78,12 @@
   std::string address_;
   std::string logged_fault_;   // the last fault that was logged
   bool stale_logged_ = false;  // the warning about a stale list has been logged
-  bool always_retries_;
+  bool pushed_;
   core::membership::WatchScheduler scheduler_;
   std::array<std::unique_ptr<HttpGet>, core::membership::WatchScheduler::kPlaces> requests_;
   std::array<CallInFlight, core::membership::WatchScheduler::kPlaces> calls_;
   core::membership::CallCounts counts_;
+  CallOutcome last_outcome_ = CallOutcome::kAnswered;
   std::unique_ptr<Alarm> alarm_;
 };
 
--- a/src/net/operations.cpp
+++ b/src/net/operations.cpp
@@ -124,7 +124,7 @@
   }
   switch (command->kind) {
     case Kind::kHealth:
-      return "SUCCESS\r\n";
+      return handler_.accepts_clients() ? "SUCCESS\r\n" : "FAILURE starting\r\n";
     case Kind::kDump:
       return metrics_.json(handler_.current_figures()) + "\r\nEOT\r\n";
     case Kind::kOffline:
--- a/src/net/operations.hpp
+++ b/src/net/operations.hpp
@@ -27,6 +27,8 @@
     /// The host list change that follows from a ban or from lifting one.
     virtual void on_ban_change(HostList&& change) = 0;
     virtual core::ops::Metrics::Gauges current_figures() = 0;
+    /// Whether the router has begun to accept clients.
+    virtual bool accepts_clients() const = 0;
   };
 
   /// Bans that the ledger holds for the whole fleet.
--- a/src/net/pool_set.cpp
+++ b/src/net/pool_set.cpp
@@ -161,11 +161,6 @@
   for (auto& [number, module] : modules_) module->balancer->update_settings(settings);
 }
 
-void PoolSet::on_list_failure() {
-  for (const auto& [number, module] : modules_)
-    handler_.on_module_list(number, ListScope::Failed, {});
-}
-
 /// Stores the list for modules that are created later.
 void PoolSet::store(HostList&& list) {
   if (list.whole) {
--- a/src/net/pool_set.hpp
+++ b/src/net/pool_set.hpp
@@ -66,8 +66,6 @@
   /// Sends each module its part of `list`. Returns the list with the addresses that pools name
   /// themselves, which discovery does not know.
   HostList apply_list(HostList&& list);
-  /// Notifies every module that discovery could not be reached.
-  void on_list_failure();
   /// The current list with those addresses; only valid while an operator file is in use.
   HostList whole_list() const;
   /// Applies `settings`, which PoolSet's configuration holds by now, to all modules.
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/membership/startup_gate.hpp"
 #include "core/ops/settings_update.hpp"
 #include "heap.hpp"
 
@@ -23,6 +24,7 @@
 // After SIGTERM the front still sends new connections for up to 0.4 s, and those that come after
 // 0.7 s are not the router's responsibility any more: it stops listening in between.
 constexpr Micros kStopListeningAfter = kSecond / 2;
+constexpr Micros kStartupPollInterval = 20 * kMillisecond;
 constexpr Micros kStopPollInterval = 20 * kMillisecond;
 // SIGKILL comes 0.7 s after the longest deadline, which the platform caps at kMaxDeadline. Before
 // that the open requests are failed, early enough for a router that is held up for 0.15 s.
@@ -71,8 +73,9 @@
 }
 
 core::membership::WatchTiming watch_timing_of(const violetusher::Settings& settings) {
-  return settings.list_on_demand ? core::membership::polled_timing()
-                                 : core::membership::pushed_timing(settings.drain_grace);
+  return settings.list_on_demand
+             ? core::membership::polled_timing(settings.routers, settings.list_refresh_interval)
+             : core::membership::pushed_timing(settings.drain_grace);
 }
 
 Micros longest_deadline(const Config& c) {
@@ -112,6 +115,23 @@
   operations_.start();
 }
 
+bool Router::await_host_list() {
+  io_.update_time();
+  core::membership::StartupGate gate(io_.now(), watch_timing_of(config_.settings).max_startup_wait);
+  std::unique_ptr<Alarm> poll = io_.alarm([] {});
+  while (!stopping_since_ &&
+         !gate.is_open(io_.now(), discovery_.confirmed(), discovery_.consecutive_failures())) {
+    poll->set(kStartupPollInterval);
+    run_iteration();
+  }
+  if (!stopping_since_ && !discovery_.confirmed())
+    log_.write(io_.now(), Log::Level::kWarn, "list-unconfirmed",
+               "discovery: no list so far; serving with the one of the configuration",
+               {{"list", std::string_view(list_version())},
+                {"calls", static_cast<std::int64_t>(discovery_.counts().made)}});
+  return !stopping_since_;
+}
+
 bool Router::listen(std::string& error) {
   auto address = parse_address(config_.listen, true);
   if (!address) {
@@ -119,8 +139,9 @@
     return false;
   }
   invariants_.on_start(operations_.bans_known());
-  if (config_.accept_fd < 0) return clients_.listen(*address, error);
-  if (!clients_.adopt(config_.accept_fd, error)) return false;
+  listening_ = config_.accept_fd < 0 ? clients_.listen(*address, error)
+                                     : clients_.adopt(config_.accept_fd, error);
+  if (!listening_ || config_.accept_fd < 0) return listening_;
   // Another process may have served until now. This one must apply at once what discovery sent it,
   // and the initial host list may be as old as the first start.
   discovery_.fetch();
@@ -169,23 +190,25 @@
 
 void Router::run() {
   running_ = true;
-  while (!done_) {
-    for (int pass = 0; pass == 0 || (has_pending_work() && pass < kMaxPassesPerTurn); ++pass) {
-      run_due_timers();
-      deliver_events();
-      // Requests are written before responses, as they have the longer way to go.
-      servers_.flush();
-      clients_.flush();
-      io_.update_time();
-    }
-    arm_timer();
-    io_.run_once(has_pending_work() ? Io::Wait::kNone : Io::Wait::kForEvents);
-    if (on_each_iteration_) on_each_iteration_();
-  }
+  while (!done_) run_iteration();
   clients_.flush();
   if (activity_recorder_) activity_recorder_->tick(io_.now());
 }
 
+void Router::run_iteration() {
+  for (int pass = 0; pass == 0 || (has_pending_work() && pass < kMaxPassesPerTurn); ++pass) {
+    run_due_timers();
+    deliver_events();
+    // Requests are written before responses, as they have the longer way to go.
+    servers_.flush();
+    clients_.flush();
+    io_.update_time();
+  }
+  arm_timer();
+  io_.run_once(has_pending_work() ? Io::Wait::kNone : Io::Wait::kForEvents);
+  if (on_each_iteration_) on_each_iteration_();
+}
+
 bool Router::has_pending_work() const {
   return !feed_.empty() || servers_.dirty() || clients_.dirty();
 }
@@ -374,10 +397,9 @@
     if (auto* a = std::get_if<violetusher::Fail>(&action)) core_.fail(*a);
     if (auto* a = std::get_if<violetusher::Cancel>(&action)) core_.cancel(*a);
     if (auto* a = std::get_if<violetusher::Timer>(&action)) core_.set_module_timer(module, *a);
-    // The module of the whole list asks for lists on behalf of all pools. Probe is ignored: no site
-    // that the module was made for allows it.
+    // Watch needs nothing: Discovery watches from the start on. Probe is ignored: no site that the
+    // module was made for allows it. The module of the whole list asks on behalf of all pools.
     if (module != PoolSet::kWholeList) continue;
-    if (std::holds_alternative<violetusher::Watch>(action)) discovery_.watch();
     if (std::holds_alternative<violetusher::Fetch>(action)) discovery_.fetch();
   }
 }
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -35,6 +35,9 @@
   /// Whether the banned servers are known; false while the stored bans cannot be read. Call again,
   /// and listen only once it is true.
   bool may_serve() { return operations_.bans_known(); }
+  /// Runs the event loop until discovery has confirmed the host list, or until it is better to
+  /// start without; see StartupGate. False if stop() was called meanwhile.
+  bool await_host_list();
   /// Returns false with the reason in `error`.
   bool listen(std::string& error);
   /// Sets a function that is called once per iteration of the loop, many times a second.
@@ -100,7 +103,6 @@
         pools_.apply_list(operations_.hosts().apply(std::move(list), possibly_stale)));
     record_serving_change();
   }
-  void on_hosts_failed() override { pools_.on_list_failure(); }
   // PoolSet::Handler
   void on_module_start(std::uint32_t module) override { feed_.push(StartEvent{module}); }
   void on_module_list(std::uint32_t module, violetusher::ListScope scope,
@@ -114,10 +116,12 @@
     record_serving_change();
   }
   core::ops::Metrics::Gauges current_figures() override;
+  bool accepts_clients() const override { return listening_; }
 
   void update_settings(const violetusher::Settings& settings);
   /// Whether another pass of run() would find something to do without any new event.
   bool has_pending_work() const;
+  void run_iteration();
   void run_due_timers();
   void arm_timer();
   /// Delivers queued events to their modules and carries out the actions they return, until the
@@ -155,7 +159,7 @@
   Micros stopping_since_ = 0;
   int delivered_polls_ = 0;  // of a shutdown, in a row: see end_requests()
   std::function<void()> on_each_iteration_;
-  bool running_ = false, done_ = false;
+  bool listening_ = false, running_ = false, done_ = false;
 };
 
 }  // namespace violetusher::net
