A router takes clients once discovery has confirmed its list, or is seen to be out of reach

What callers saw: a process that had just started sent to a server that drains since before its start. Cause: the list of the configuration is as old as the process before, and a change of 6 s before the start counts as told in the moment in which the first call fails; no timing of calls helps there, only not to send.

Router::await_host_list runs the loop before the daemon listens (or takes over the shared listener): until a list is confirmed, four calls in a row have failed within a second or more (an outage, which is to be served through), or the limit is over (4 s; 2 s in tiers of 30 and more; 1 s where lists are pushed). HEALTH says FAILURE until then, SIGTERM ends, SIGHUP is carried out.

Cost: with discovery down a start takes clients after 1 to about 3 s (asked) or 1 s (pushed), 10 ms before.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -120,13 +120,14 @@
     if (!retry_until(kBansRetryTimeout, [this] { return may_serve(); }))
       log_event(Log::Level::kError, "bans-unread",
                 "operator: can't read the ban log; serving without it");
+    for (int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR2}) violetusher::capture_signal(number);
+    router_.on_each_iteration([this] { handle_signals(); });
+    if (!router_.await_host_list()) return 0;
     std::string error;
     if (!retry_until(kListenRetryTimeout, [&] { return router_.listen(error); })) {
       log_event(Log::Level::kError, "listen-failed", "listen " + listen + ": " + error);
       return 1;
     }
-    for (int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR2}) violetusher::capture_signal(number);
-    router_.on_each_iteration([this] { handle_signals(); });
     std::string host = listen.substr(0, listen.rfind(':'));
     log_event(Log::Level::kInfo, "listening",
               name_ + " listens on " + host + ":" + std::to_string(router_.port()));
