Calls to discovery whose events the system did not take are armed again

What callers saw: requests at draining servers for as long as a watch waits, after epoll_ctl had failed for a moment.

libevent's warnings about epoll_ctl are counted (and still written); where the count has grown, the calls in progress enable their events again after 5 ms, until all are taken. Nothing runs where nothing fails.

--- a/src/kit/standin/discovery.cpp
+++ b/src/kit/standin/discovery.cpp
@@ -232,9 +232,9 @@
   std::string text =
       "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   text.resize(text.size() - body.size() / 2);
-  bufferevent* buffer = evhttp_connection_get_bufferevent(call.connection);
-  bufferevent_enable(buffer, EV_WRITE);
-  bufferevent_write(buffer, text.data(), text.size());
+  // Not by the connection's buffer: evhttp would take the request for answered once it is empty.
+  evutil_socket_t fd = bufferevent_getfd(evhttp_connection_get_bufferevent(call.connection));
+  ::send(fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
 void DiscoveryStandin::on_closed(evhttp_connection* connection, void* at) {
--- a/src/net/system_io.cpp
+++ b/src/net/system_io.cpp
@@ -1,6 +1,7 @@
 #include "system_io.hpp"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <fcntl.h>
 #include <linux/sockios.h>
@@ -14,6 +15,8 @@
 #include <cstring>
 #include <ctime>
 
+#include "event_registration.hpp"
+
 namespace violetusher::net {
 namespace {
 
@@ -119,12 +122,14 @@
   return std::max<Micros>(::timegm(&parts), 0) * kSecond;
 }
 
-class SystemHttpGet final : public HttpGet {
+class SystemHttpGet final : public HttpGet, EventUser {
  public:
-  SystemHttpGet(Io& io, event_base* base, Done done)
+  SystemHttpGet(SystemIo& io, event_base* base, Done done)
       : io_(io), base_(base), done_(std::move(done)) {
     ready_.reset(event_new(base, -1, 0, on_ready, this));
+    io_.add_event_user(*this);
   }
+  ~SystemHttpGet() override { io_.remove_event_user(*this); }
 
   void start(const std::string& address, const std::string& path, Micros timeout) override {
     stop();
@@ -152,6 +157,12 @@
     void operator()(evhttp_connection* c) const { evhttp_connection_free(c); }
   };
 
+  void rearm_events() override {
+    if (!in_progress_ || !connection_) return;
+    bufferevent* buffer = evhttp_connection_get_bufferevent(connection_.get());
+    bufferevent_enable(buffer, bufferevent_get_enabled(buffer));
+  }
+
   void send_request() {
     in_progress_ = true;
     if (!connection_) connect();
@@ -213,7 +224,7 @@
     done_(std::exchange(answer_, std::nullopt));
   }
 
-  Io& io_;
+  SystemIo& io_;
   event_base* base_;
   Done done_;
   std::unique_ptr<evhttp_connection, ConnectionFree> connection_;
@@ -353,9 +364,24 @@
   return std::make_unique<SystemHttpGet>(*this, base_, std::move(done));
 }
 
+SystemIo::SystemIo(event_base* base) : base_(base), now_(clock_.now()) {
+  watch_event_registrations();
+  seen_registration_failures_ = failed_event_registrations();
+  rearm_.reset(event_new(base, -1, 0, on_rearm, this));
+}
+
+void SystemIo::on_rearm(evutil_socket_t, short, void* self) {
+  for (EventUser* user : static_cast<SystemIo*>(self)->event_users_) user->rearm_events();
+}
+
 void SystemIo::run_once(Wait wait) {
   event_base_loop(base_, EVLOOP_ONCE | (wait == Wait::kNone ? EVLOOP_NONBLOCK : 0));
   update_time();
+  std::uint64_t failures = failed_event_registrations();
+  if (failures == seen_registration_failures_) return;
+  seen_registration_failures_ = failures;
+  timeval wait_time = timeval_of(kRearmDelay);
+  event_add(rearm_.get(), &wait_time);
 }
 
 }  // namespace violetusher::net
--- a/src/net/system_io.hpp
+++ b/src/net/system_io.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -69,11 +70,20 @@
   Micros origin_;
 };
 
+/// An object whose parts of libevent add events by themselves, and ignore it if the system does not
+/// take one.
+class EventUser {
+ public:
+  virtual ~EventUser() = default;
+  /// Adds the events again that are not registered.
+  virtual void rearm_events() = 0;
+};
+
 /// The system's clock, timers and sockets on a libevent loop. The caller owns the loop, which must
 /// outlive the object.
 class SystemIo final : public Io {
  public:
-  explicit SystemIo(event_base* base) : base_(base), now_(clock_.now()) {}
+  explicit SystemIo(event_base* base);
 
   Micros now() const override { return now_; }
   void update_time() override { now_ = clock_.now(); }
@@ -96,9 +106,16 @@
   std::unique_ptr<Alarm> alarm(std::function<void()> on_expiry) override;
   std::unique_ptr<HttpGet> http(HttpGet::Done done) override;
   void run_once(Wait wait = Wait::kForEvents) override;
+  void add_event_user(EventUser& user) { event_users_.insert(&user); }
+  void remove_event_user(EventUser& user) { event_users_.erase(&user); }
 
  private:
+  static void on_rearm(evutil_socket_t, short, void* self);
+
   event_base* base_;
+  std::set<EventUser*> event_users_;
+  EventPtr rearm_;
+  std::uint64_t seen_registration_failures_ = 0;
   Clock clock_;
   Micros now_;
 };
--- a/tests/daemon/io_faults_test.cpp
+++ b/tests/daemon/io_faults_test.cpp
@@ -191,6 +191,30 @@
   EXPECT_EQ(first_.lines().size(), before);
 }
 
+/// Guards against calls to discovery that are in flight here but never looked at again, as the
+/// system did not take their event.
+TEST_F(IoFaults, ADrainIsNoticedAfterAWatchCouldNotBeRegistered) {
+  options_.drain_grace_us = "500000";
+  options_.list_on_demand = true;
+  auto daemon = start();
+  std::uint16_t port = daemon->port();
+  ASSERT_GT(read_keys(port, "warm", 100), 0);
+  ASSERT_GT(first_.lines().size(), 0u);
+  sleep_ms(500);  // the watch waits
+  for (int round = 0; round < 5; ++round) {
+    faults("epoll_ctl error=ENOMEM|ENOSPC\n");
+    discovery_.set_health("s-1", second_.address(), "active");  // the watch is answered
+    sleep_ms(100);
+    faults("");
+    sleep_ms(100);
+  }
+  discovery_.set_health("s-0", first_.address(), "leaving");
+  sleep_ms(550);
+  std::size_t before = first_.lines().size();
+  read_keys(port, "r", 200, 2);
+  EXPECT_EQ(first_.lines().size(), before);
+}
+
 TEST_F(IoFaults, ADrainIsNoticedInTimeWhileManyCallsFail) {
   auto daemon = start();
   std::uint16_t port = daemon->port();
