A newer watch that misses what the older one brought is silent, and replaced within a second

Both wait for the same change, so the newer one is answered with it or has fallen silent: its time is over a second later, and an immediate call makes up for it (WatchScheduler.ANewerWatchThatMissesWhatTheOlderBroughtIsReplaced).

--- a/src/core/membership/watch_scheduler.cpp
+++ b/src/core/membership/watch_scheduler.cpp
@@ -260,6 +260,7 @@
   // would be a busy loop.
   bool idle = answer.version == version_ && call.lists_applied == lists_applied_ &&
               call.is_watch() && now - call.started < call.wait / 2;
+  bool brought_news = decision != ListDecision::kIgnore && answer.version != version_;
   if (decision != ListDecision::kIgnore) ++lists_applied_;
   // A list with unusable entries does not set the version: it is requested again.
   if (decision != ListDecision::kIgnore && answer.sound) version_ = watch_version_ = answer.version;
@@ -277,7 +278,11 @@
   bool immediate = !call.is_watch();
   bool after_trouble = immediate && call.after_trouble;
   if (immediate) cancel_watches_before(call);
-  bool later = place != newest_ && calls_[newest_].in_flight;
+  Call& newest = calls_[newest_];
+  bool later = place != newest_ && newest.in_flight;
+  // A newer watch that waits for the same change is answered with it, or has fallen silent.
+  if (later && brought_news && newest.is_watch() && !timing_.pushed)
+    newest.deadline = std::min(newest.deadline, now + timing_.response_timeout);
   if (later && !(immediate && !calls_[newest_].is_watch()))
     return decision;  // the newest call continues the watch
   // The next call follows at once: discovery treats a watch with gaps as a new one.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -410,6 +410,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Before anything else: signals may come in series from the first moment on. SIGUSR1 has no
+  // function, and before the start there is no recording to copy.
+  for (int one : {SIGPIPE, SIGUSR1, SIGUSR2}) std::signal(one, SIG_IGN);
+  violetusher::capture_signal(SIGHUP);  // before the first read, to miss no reload
   std::string operator_file;
   bool only_check = false;
   if (argc > 1) {  // the platform passes no arguments
@@ -425,10 +429,6 @@
   }
   if (only_check) return check(operator_file);
   return_large_buffers_at_once();
-  std::signal(SIGPIPE, SIG_IGN);
-  // SIGUSR1 has no function, and before the start there is no recording to copy.
-  for (int one : {SIGUSR1, SIGUSR2}) std::signal(one, SIG_IGN);
-  violetusher::capture_signal(SIGHUP);  // before the first read, to miss no reload
   try {
     Config config;
     retry_while_unreadable([&] { config = load_config(); });
--- a/tests/core/membership/watch_scheduler_test.cpp
+++ b/tests/core/membership/watch_scheduler_test.cpp
@@ -272,6 +272,21 @@
   }
 }
 
+/// Two watches wait for the same change and only the older brings it: the newer is silent, and an
+/// immediate call replaces it within a second, long before its wait is over.
+TEST(WatchScheduler, ANewerWatchThatMissesWhatTheOlderBroughtIsReplaced) {
+  Fixture w(polled_timing(kRouters, kAskWithin));
+  w.settle();
+  while (w.out.size() < 2) w.run(*w.calls.next_due());
+  EXPECT_EQ(w.answer(WatchScheduler::kWatch0, "8"), ListDecision::kApply);
+  Micros answered = w.now;
+  std::size_t before = w.calls_made.size();
+  while (w.calls_made.size() == before) w.run(*w.calls.next_due());
+  EXPECT_LE(w.now - answered, w.timing.response_timeout);
+  EXPECT_EQ(w.calls_made.back().wait, kMillisecond);
+  EXPECT_EQ(w.calls_made.back().version, "8");
+}
+
 /// Both watches fail in turn while a retry of the newer is planned: one immediate call makes up for
 /// both.
 TEST(WatchScheduler, MakesOneImmediateCallWhenBothWatchesFail) {
