--- a/src/core/membership/watch_timing.cpp
+++ b/src/core/membership/watch_timing.cpp
@@ -8,6 +8,10 @@
 constexpr Micros kSecond = 1'000'000, kMillisecond = 1000;
 // The time for which discovery queues a call before it fails it.
 constexpr Micros kMaxQueueTime = 3 * kSecond;
+// Nine in ten restarted routers have to be ready within 10 s, and within this on short days; of
+// that, what a start takes beside waiting for its list.
+constexpr Micros kMaxReadyTime = 6 * kSecond;
+constexpr Micros kStartupTime = 800 * kMillisecond;
 // Calls of a fleet are spread by its size, up to this many routers.
 constexpr int kMaxScaledRouters = 50;
 // So many routers may call discovery at the same moment.
@@ -48,9 +52,8 @@
   t.max_retry_delay = std::clamp(ask_within / 2, kMinRetryDelay, kSecond);
   t.retry_delay = std::clamp(fleet * kRetryDelayPerRouter, kSecond / 5, kSecond);
   t.retry_delay = std::min(t.retry_delay, t.max_retry_delay);
-  // Nine in ten restarted routers have to be ready within 10 s, and within 6 s on short days. Many
-  // that start together wait in discovery's queue for longer.
-  t.max_startup_wait = routers < kLargeFleet ? 4 * kSecond : 2 * kSecond;
+  // Many that start together wait in discovery's queue for longer.
+  t.max_startup_wait = routers < kLargeFleet ? kMaxReadyTime - kStartupTime : 2 * kSecond;
   return t;
 }
 
