--- a/src/net/system_io.cpp
+++ b/src/net/system_io.cpp
@@ -11,12 +11,12 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
 #include <ctime>
 
-#include "event_registration.hpp"
-
 namespace violetusher::net {
 namespace {
 
@@ -32,6 +32,23 @@
 // After a call on a reused connection got no answer, connections are not reused for this long.
 constexpr Micros kNoReuseDuration = 10 * kSecond;
 
+// How libevent's warning about a failed epoll_ctl begins.
+constexpr const char* kEpollWarning = "Epoll ";
+
+/// How many events the system did not take in this process. Objects of libevent that add events by
+/// themselves, such as HTTP connections, ignore that and wait for ever.
+std::atomic<std::uint64_t> failed_event_registrations{0};
+
+/// Counts libevent's warnings about events, and writes all messages to standard error, as it would.
+void on_libevent_message(int severity, const char* message) {
+  if (severity == EVENT_LOG_DEBUG) return;
+  bool is_warning = severity == EVENT_LOG_WARN;
+  if (is_warning && std::strncmp(message, kEpollWarning, std::strlen(kEpollWarning)) == 0)
+    ++failed_event_registrations;
+  const char* name = is_warning ? "warn" : severity == EVENT_LOG_ERR ? "err" : "msg";
+  std::fprintf(stderr, "[%s] %s\n", name, message);
+}
+
 class SystemWatch final : public Watch {
  public:
   SystemWatch(Io& io, event_base* base, int socket, Target& target) : io_(io), target_(target) {
@@ -365,8 +382,8 @@
 }
 
 SystemIo::SystemIo(event_base* base) : base_(base), now_(clock_.now()) {
-  watch_event_registrations();
-  seen_registration_failures_ = failed_event_registrations();
+  event_set_log_callback(on_libevent_message);
+  seen_registration_failures_ = failed_event_registrations;
   rearm_.reset(event_new(base, -1, 0, on_rearm, this));
 }
 
@@ -377,7 +394,7 @@
 void SystemIo::run_once(Wait wait) {
   event_base_loop(base_, EVLOOP_ONCE | (wait == Wait::kNone ? EVLOOP_NONBLOCK : 0));
   update_time();
-  std::uint64_t failures = failed_event_registrations();
+  std::uint64_t failures = failed_event_registrations;
   if (failures == seen_registration_failures_) return;
   seen_registration_failures_ = failures;
   timeval wait_time = timeval_of(kRearmDelay);
