--- a/src/core/membership/watch_scheduler.cpp
+++ b/src/core/membership/watch_scheduler.cpp
@@ -40,6 +40,19 @@
   return value;
 }
 
+/// Whether a call is made because another one failed or may be silent.
+bool follows_trouble(CallReason reason) {
+  switch (reason) {
+    case CallReason::kUnanswered:
+    case CallReason::kRetry:
+    case CallReason::kOverdue:
+    case CallReason::kOtherFailed:
+      return true;
+    default:
+      return false;
+  }
+}
+
 }  // namespace
 
 std::optional<int> compare_versions(const std::string& a, const std::string& b) {
@@ -78,7 +91,8 @@
 
 void WatchScheduler::start(Micros now) {
   if (timing_.first_call_spread == 0) return watch(now);
-  first_call_at_ = now + random_between(0, timing_.first_call_spread);
+  next_call_at_ = now + random_between(0, timing_.first_call_spread);
+  next_call_reason_ = CallReason::kStart;
 }
 
 bool WatchScheduler::has_call() const {
@@ -120,8 +134,7 @@
     wait = random_between(wait - (timing_.max_renewal_age - timing_.min_renewal_age), wait);
   call.in_flight = true;
   call.overdue = false;
-  call.after_trouble = reason != CallReason::kStart && reason != CallReason::kContinuation &&
-                       reason != CallReason::kRenewal && reason != CallReason::kAddressChange;
+  call.after_trouble = follows_trouble(reason);
   call.started = now;
   call.wait = wait;
   call.deadline = now + wait +
@@ -138,7 +151,6 @@
     call.follow_up_at = now + delay;
   }
   call.lists_applied = lists_applied_;
-  ++calls_made_;
   port_.start(place, place == kFetch ? std::string() : watch_version_, wait, reason);
 }
 
@@ -150,7 +162,7 @@
 
 /// Starts another call of the watch beside those in flight.
 void WatchScheduler::start_watch_call(Micros now, Micros wait, CallReason reason) {
-  retry_at_ = 0;
+  next_call_at_ = 0;
   auto is_better = [&](int a, int b) {
     return calls_[a].in_flight != calls_[b].in_flight
                ? !calls_[a].in_flight
@@ -184,7 +196,7 @@
 
 void WatchScheduler::stop() {
   for (int place = 0; place < kPlaces; ++place) cancel(static_cast<Place>(place));
-  retry_at_ = fetch_at_ = first_call_at_ = 0;
+  next_call_at_ = fetch_at_ = 0;
 }
 
 Micros WatchScheduler::retry_delay(int failures) {
@@ -194,8 +206,8 @@
 }
 
 void WatchScheduler::schedule_retry(Micros now) {
-  retry_at_ = now + retry_delay(failures_++);
-  retry_reason_ = CallReason::kRetry;
+  next_call_at_ = now + retry_delay(failures_++);
+  next_call_reason_ = CallReason::kRetry;
   if (timing_.pushed && failures_ % kFailuresPerFetch == 0 && !calls_[kFetch].in_flight) fetch(now);
 }
 
@@ -207,7 +219,7 @@
     return;
   }
   if (place == newest_ || !has_call()) {
-    if (retry_at_ == 0) schedule_retry(now);
+    if (next_call_at_ == 0) schedule_retry(now);
   } else if (calls_[newest_].in_flight && calls_[newest_].is_watch()) {
     // Whatever ended an older call may have silenced the newest one too, and what that one misses
     // counts as notified long before it is renewed.
@@ -283,12 +295,12 @@
   // A newer watch that waits for the same change is answered with it, or has fallen silent.
   if (later && brought_news && newest.is_watch() && !timing_.pushed)
     newest.deadline = std::min(newest.deadline, now + timing_.response_timeout);
-  if (later && !(immediate && !calls_[newest_].is_watch()))
+  if (later && !(immediate && !newest.is_watch()))
     return decision;  // the newest call continues the watch
   // The next call follows at once: discovery treats a watch with gaps as a new one.
   newest_ = place;
-  retry_at_ = idle ? now + kUnheldWatchInterval : 0;
-  retry_reason_ = CallReason::kContinuation;
+  next_call_at_ = idle ? now + kUnheldWatchInterval : 0;
+  next_call_reason_ = CallReason::kContinuation;
   if (!idle) start_call(place, now, timing_.wait, CallReason::kContinuation);
   if (after_trouble && timing_.early_renewal_age > 0)
     calls_[place].follow_up_at =
@@ -325,21 +337,17 @@
 }
 
 void WatchScheduler::run_due(Micros now) {
-  if (first_call_at_ > 0 && now >= first_call_at_) {
-    first_call_at_ = 0;
-    watch(now);
-  }
   for (int place = 0; place < kPlaces; ++place)
     if (calls_[place].in_flight && now >= calls_[place].deadline)
       handle_timeout(static_cast<Place>(place), now);
   follow_up(now);
-  if (retry_at_ > 0 && now >= retry_at_) {
-    retry_at_ = 0;
-    // After a failure, and without another watch that waits, what was missed is fetched at once. An
-    // agent may be slower than an immediate call is waited for.
-    bool immediate = retry_reason_ == CallReason::kRetry && !has_waiting_watch() &&
+  if (next_call_at_ > 0 && now >= next_call_at_) {
+    next_call_at_ = 0;
+    // Only an answer is followed by a watch where none waits. An agent may be slower than an
+    // immediate call is waited for.
+    bool immediate = next_call_reason_ != CallReason::kContinuation && !has_waiting_watch() &&
                      (!timing_.pushed || failures_ == 1);
-    start_call(newest_, now, immediate ? kImmediateWait : timing_.wait, retry_reason_);
+    start_call(newest_, now, immediate ? kImmediateWait : timing_.wait, next_call_reason_);
   }
   if (fetch_at_ > 0 && now >= fetch_at_) request_full_list(now);
 }
@@ -352,8 +360,7 @@
   for (const Call& call : calls_)
     if (call.in_flight) at(call.deadline);
   if (calls_[newest_].in_flight) at(calls_[newest_].follow_up_at);
-  at(first_call_at_);
-  at(retry_at_);
+  at(next_call_at_);
   at(fetch_at_);
   return first;
 }
--- a/src/core/membership/watch_scheduler.hpp
+++ b/src/core/membership/watch_scheduler.hpp
@@ -112,8 +112,6 @@
   void set_started(Micros now) { last_response_at_ = now; }
   /// Version of the list in use.
   const std::string& version() const { return version_; }
-  /// Calls made since the start.
-  std::uint64_t calls_made() const { return calls_made_; }
 
  private:
   // Wait of the first call of a watch.
@@ -149,10 +147,9 @@
   std::string version_;        // version in use, whichever discovery it came from
   std::string watch_version_;  // version that a watch names; empty: request the full list
   std::array<Call, kPlaces> calls_;
-  Place newest_ = kWatch0;    // the newest watch slot
-  Micros first_call_at_ = 0;  // when the first call is made; 0: it was
-  Micros retry_at_ = 0;       // when the newest call is made again; 0: not planned
-  CallReason retry_reason_ = CallReason::kRetry;
+  Place newest_ = kWatch0;   // the newest watch slot
+  Micros next_call_at_ = 0;  // when the newest call is made, or made again; 0: not planned
+  CallReason next_call_reason_ = CallReason::kStart;
   Micros fetch_at_ = 0;  // when the full list is requested; 0: not planned
   Micros last_response_at_ = 0;
   int failures_ = 0;              // consecutive failures of watches
@@ -160,7 +157,7 @@
   int older_lists_ = 0;           // consecutive full lists that are older than the one in use
   bool address_changed_ = false;  // no list of the new address has been applied yet
   bool confirmed_ = false;
-  std::uint64_t lists_applied_ = 0, calls_made_ = 0, rng_;
+  std::uint64_t lists_applied_ = 0, rng_;
 };
 
 }  // namespace violetusher::core::membership
--- a/src/kit/standin/discovery.cpp
+++ b/src/kit/standin/discovery.cpp
@@ -243,16 +243,13 @@
     if (c.connection != connection) return false;
     // evhttp has released a request that it had read completely, and no longer frees it.
     if (!evhttp_request_get_connection(c.request)) evhttp_request_free(c.request);
+    self->notifications_.on_failure(c.router, self->loop_.now());  // given up
     return true;
   };
-  for (const Call& call : self->queue_)
-    if (call.connection == connection)
-      self->notifications_.on_failure(call.router, self->loop_.now());
   std::erase_if(self->queue_, gone);
   auto watch = std::find_if(self->watches_.begin(), self->watches_.end(), gone);
   if (watch == self->watches_.end()) return;
   int router = watch->router;
-  self->notifications_.on_failure(router, self->loop_.now());  // given up
   self->watches_.erase(watch);
   self->count_watches(router);
 }
